--- /dev/null
+++ b/crates/control/src/proposer.rs
@@ -0,0 +1,128 @@
+//! Carrying a configuration change through the table.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use guavaspread_config::{Acknowledgement, Head, Outcome, Proposal, ProposalTimes, Step};
+use guavaspread_model::{Change, Code, Config, Host, Name, Refusal};
+use guavaspread_platform::{Category, Platform, Transaction, Write};
+use ntex::time::sleep;
+
+use crate::follower::parse;
+use crate::{Clock, HEAD_KEY, MEMBER_PREFIX, record_key};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const TABLE_TRIES_MAX: u32 = 20;
+
+/// Proposes `changes` on top of `config` and waits for the outcome.
+pub async fn propose(
+    platform: &Rc<dyn Platform>,
+    clock: Clock,
+    proposer: Name,
+    changes: Vec<Change>,
+    config: &Config,
+) -> Outcome {
+    let times = ProposalTimes::default();
+    let proposal = match Proposal::new(proposer, changes, config, times) {
+        Ok(proposal) => proposal,
+        Err(refusal) => return Outcome::Rejected(refusal),
+    };
+    Driver { platform: platform.clone(), clock, proposal, failures: 0 }.run().await
+}
+
+struct Driver {
+    platform: Rc<dyn Platform>,
+    clock: Clock,
+    proposal: Proposal,
+    failures: u32,
+}
+
+impl Driver {
+    async fn run(mut self) -> Outcome {
+        let mut step = self.proposal.next();
+        loop {
+            step = match step {
+                Step::ReadHead => self.read_head().await,
+                Step::Stage { head, record, revision } => {
+                    let Ok(value) = serde_json::to_string(&record) else {
+                        return unwritable();
+                    };
+                    let record = Write { key: record_key(record.revision), value: Some(value) };
+                    self.write_head(head, revision, Some(record)).await
+                }
+                Step::ReadMembers => self.read_members().await,
+                Step::Decide { head, revision, delete } => {
+                    let delete =
+                        delete.map(|revision| Write { key: record_key(revision), value: None });
+                    self.write_head(head, Some(revision), delete).await
+                }
+                Step::End(outcome) => return outcome,
+            };
+        }
+    }
+
+    async fn read_head(&mut self) -> Step {
+        match self.platform.get(HEAD_KEY).await {
+            Ok(row) => {
+                self.failures = 0;
+                let head: Head = parse(row.as_ref()).unwrap_or_default();
+                let revision = row.map(|row| row.revision);
+                let step = self.proposal.on_head(head, revision, self.clock.now());
+                if step == Step::ReadHead {
+                    sleep(POLL_INTERVAL).await;
+                }
+                step
+            }
+            Err(_) => self.table_failed().await,
+        }
+    }
+
+    async fn write_head(
+        &mut self,
+        head: Head,
+        revision: Option<u64>,
+        other: Option<Write>,
+    ) -> Step {
+        let Ok(value) = serde_json::to_string(&head) else {
+            return Step::End(unwritable());
+        };
+        let mut tx = Transaction::default().swap(HEAD_KEY, revision, value);
+        tx.writes.extend(other);
+        match self.platform.commit(&tx).await {
+            Ok(committed) => {
+                self.failures = 0;
+                self.proposal.on_committed(head, committed.revision, self.clock.now())
+            }
+            Err(e) if e.classify() == Category::Conflict => self.proposal.on_conflict(),
+            Err(_) => self.table_failed().await,
+        }
+    }
+
+    async fn read_members(&mut self) -> Step {
+        sleep(POLL_INTERVAL).await;
+        let members = self.platform.list(MEMBER_PREFIX).await;
+        let hosts = self.platform.hosts().await;
+        let (Ok(members), Ok(hosts)) = (members, hosts) else {
+            return self.table_failed().await;
+        };
+        self.failures = 0;
+        let members: Vec<Acknowledgement> =
+            members.iter().filter_map(|row| parse(Some(row))).collect();
+        let is_listed = |name: &Name| hosts.iter().any(|host: &Host| host.name == *name);
+        self.proposal.on_members(&members, is_listed, self.clock.now())
+    }
+
+    /// Tries again from what the table shows, up to a point.
+    async fn table_failed(&mut self) -> Step {
+        self.failures += 1;
+        if self.failures >= TABLE_TRIES_MAX {
+            return Step::End(self.proposal.on_table_lost());
+        }
+        sleep(POLL_INTERVAL).await;
+        self.proposal.next()
+    }
+}
+
+fn unwritable() -> Outcome {
+    Outcome::Rejected(Refusal::not_run(Code::MalformedRequest, "the change can't be written"))
+}
--- /dev/null
+++ b/crates/gateway/src/api.rs
@@ -0,0 +1,92 @@
+//! The routes.
+
+use ntex::web::types::{Payload, State};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use serde::Serialize;
+
+use crate::completion::{self, authenticate, config};
+use crate::operator;
+use crate::prelude::*;
+use crate::respond::refuse;
+use crate::worker::Worker;
+
+type Shared = State<Rc<Worker>>;
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry {
+    id: String,
+    object: &'static str,
+    created: u64,
+    owned_by: String,
+}
+
+/// Adds every route.
+pub(crate) fn configure(cfg: &mut ServiceConfig) {
+    cfg.route("/v1/chat/completions", web::post().to(chat))
+        .route("/v1/completions", web::post().to(completions))
+        .route("/v1/models", web::get().to(models))
+        .route("/operator/changes", web::post().to(operator::changes))
+        .route("/operator/status", web::get().to(operator::status))
+        .route("/metrics", web::get().to(metrics))
+        .route("/healthz", web::get().to(async || HttpResponse::Ok().finish()))
+        .route("/readyz", web::get().to(ready));
+}
+
+/// Answers a path that no route has.
+pub(crate) async fn unknown_path(req: HttpRequest) -> HttpResponse {
+    let detail = format!("there is nothing at {} {}", req.method(), req.path());
+    refuse(&Refusal::not_run(Code::UnknownService, detail))
+}
+
+async fn chat(worker: Shared, req: HttpRequest, payload: Payload) -> HttpResponse {
+    completion::answer(worker.get_ref().clone(), req, payload, "/v1/chat/completions").await
+}
+
+async fn completions(worker: Shared, req: HttpRequest, payload: Payload) -> HttpResponse {
+    completion::answer(worker.get_ref().clone(), req, payload, "/v1/completions").await
+}
+
+async fn models(worker: Shared, req: HttpRequest) -> HttpResponse {
+    match list_models(&worker, &req) {
+        Ok(list) => HttpResponse::Ok().json(&list),
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+fn list_models(worker: &Worker, req: &HttpRequest) -> Result<ModelList, Refusal> {
+    let board = worker.board()?;
+    let organisation = authenticate(&board, req)?;
+    let config = config(&board)?;
+    let adapters = config.organisations.get(&organisation).map(|org| &org.adapters);
+    let mut data = Vec::new();
+    for (name, adapter) in adapters.into_iter().flatten() {
+        for version in &adapter.versions {
+            data.push(ModelEntry {
+                id: AdapterVersion::new(organisation.clone(), name.clone(), *version).to_string(),
+                object: "model",
+                created: 0,
+                owned_by: organisation.to_string(),
+            });
+        }
+    }
+    Ok(ModelList { object: "list", data })
+}
+
+async fn metrics(worker: Shared) -> HttpResponse {
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    HttpResponse::Ok().content_type(content_type).body(worker.metrics.text())
+}
+
+async fn ready(worker: Shared) -> HttpResponse {
+    let ready = worker.board().is_ok_and(|board| board.snapshot.view.config.is_some());
+    match ready {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,148 @@
+//! Attempts at one request, until an answer starts or the request is refused.
+
+use guavaspread_placement::EngineKey;
+use guavaspread_wire::Ask;
+use guavaspread_wire::{FrameReceiver, RunEvent, RunOrder};
+
+use crate::prelude::*;
+use crate::worker::{Chosen, Worker};
+
+const ATTEMPTS_MAX: usize = 4;
+/// How long a dispatcher may stay silent beyond the request's own deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Holds an answer that has started.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) content_type: Option<String>,
+    pub(crate) rest: Rest,
+}
+
+/// Reads the rest of an answer; dropping it cancels the run.
+pub(crate) struct Rest {
+    worker: Rc<Worker>,
+    engine: EngineKey,
+    rx: FrameReceiver,
+    until: Duration,
+}
+
+/// Tells what became of one attempt.
+enum Attempt {
+    Started(Box<Answer>),
+    /// It did not run; another engine may take it.
+    Elsewhere(Refusal),
+    /// It may have run.
+    Unknown(Refusal),
+    /// No engine would do better.
+    Final(Refusal),
+}
+
+/// Runs `order` on engine after engine until an answer starts.
+///
+/// The order's engine and remaining deadline are filled in for each attempt.
+pub(crate) async fn start(
+    worker: &Rc<Worker>,
+    mut order: RunOrder,
+    deadline: Duration,
+) -> Result<Answer, Refusal> {
+    worker.on_first_attempt();
+    let mut tried = Vec::new();
+    let mut last = no_backend();
+    for attempt in 0..ATTEMPTS_MAX {
+        let Some(chosen) = worker.route(&order.adapter, &tried) else {
+            return Err(last);
+        };
+        if attempt > 0 && !worker.try_retry() {
+            worker.on_attempt_ended(chosen.key);
+            return Err(budget_spent(&last));
+        }
+        tried.push(chosen.key);
+        let remaining = deadline.saturating_sub(worker.clock.now());
+        order.engine = chosen.host.clone();
+        order.deadline_ms = remaining.as_millis() as u32;
+        let refusal = match attempt_once(worker, &chosen, &order, deadline).await {
+            Attempt::Started(answer) => return Ok(*answer),
+            Attempt::Final(refusal) => return Err(refusal),
+            Attempt::Elsewhere(refusal) => refusal,
+            Attempt::Unknown(refusal) if order.repeatable => refusal,
+            Attempt::Unknown(refusal) => return Err(refusal),
+        };
+        worker.on_attempt_failed(chosen.key);
+        last = refusal;
+    }
+    Err(last)
+}
+
+async fn attempt_once(
+    worker: &Rc<Worker>,
+    chosen: &Chosen,
+    order: &RunOrder,
+    deadline: Duration,
+) -> Attempt {
+    let ask = Ask::Run(Box::new(order.clone()));
+    let rx = match worker.links.open(chosen.dispatcher, &ask).await {
+        Ok(rx) => rx,
+        Err(e) => {
+            worker.on_attempt_ended(chosen.key);
+            return Attempt::Elsewhere(Refusal::not_run(Code::NoBackend, e).retry_after_ms(1_000));
+        }
+    };
+    let until = deadline + DEADLINE_MARGIN;
+    let mut rest = Rest { worker: worker.clone(), engine: chosen.key, rx, until };
+    match rest.next().await {
+        Ok(RunEvent::Head { status, content_type }) => {
+            Attempt::Started(Box::new(Answer { status, content_type, rest }))
+        }
+        Ok(RunEvent::Refused(refusal)) => sort_refusal(refusal),
+        Ok(RunEvent::Data(_) | RunEvent::Done) => {
+            let detail = "the dispatcher's answer has no head";
+            Attempt::Unknown(Refusal::maybe_ran(Code::BackendFailed, detail))
+        }
+        Err(refusal) => {
+            worker.links.forget(chosen.dispatcher);
+            Attempt::Unknown(refusal)
+        }
+    }
+}
+
+fn sort_refusal(refusal: Refusal) -> Attempt {
+    match (refusal.code, refusal.ran) {
+        (Code::DeadlineUnreachable | Code::DeadlinePassed, _) => Attempt::Final(refusal),
+        (_, Ran::No) => Attempt::Elsewhere(refusal),
+        (_, Ran::Maybe | Ran::Yes) => Attempt::Unknown(refusal),
+    }
+}
+
+impl Rest {
+    /// Receives the next event, or why there is none.
+    pub(crate) async fn next(&mut self) -> Result<RunEvent, Refusal> {
+        let now = self.worker.clock.now();
+        let left = self.until.saturating_sub(now).max(Duration::from_millis(1));
+        let lost = |detail: String| Refusal::maybe_ran(Code::Cut, detail);
+        match ntex::time::timeout(left, self.rx.recv::<RunEvent>()).await {
+            Ok(Ok(Some(event))) => Ok(event),
+            Ok(Ok(None)) => Err(lost("the dispatcher ended the answer early".to_owned())),
+            Ok(Err(e)) => Err(lost(e.to_string())),
+            Err(()) => {
+                let detail = "the deadline passed during the run";
+                Err(Refusal::maybe_ran(Code::DeadlinePassed, detail))
+            }
+        }
+    }
+}
+
+impl Drop for Rest {
+    fn drop(&mut self) {
+        self.worker.on_attempt_ended(self.engine);
+    }
+}
+
+fn no_backend() -> Refusal {
+    Refusal::not_run(Code::NoBackend, "no backend server takes work").retry_after_ms(1_000)
+}
+
+/// Keeps what is known of whether the request ran.
+fn budget_spent(last: &Refusal) -> Refusal {
+    let detail = format!("no retry is left; the last attempt ended with {last}");
+    Refusal { code: Code::RetryBudgetSpent, ran: last.ran, detail, retry_after_ms: Some(1_000) }
+}
--- /dev/null
+++ b/crates/gateway/src/completion.rs
@@ -0,0 +1,285 @@
+//! The OpenAI-compatible completions API.
+
+use guavaspread_model::{Adapter, DEFAULT_CLASS, KeyHash, RequestClass};
+use guavaspread_telemetry::{adopt, traceparent};
+use guavaspread_wire::{RunEvent, RunOrder, TraceContext};
+use ntex::http::{StatusCode, header};
+use ntex::util::{Bytes, BytesMut};
+use ntex::web::types::Payload;
+use ntex::web::{HttpRequest, HttpResponse};
+use serde::Deserialize;
+use tracing::Instrument;
+
+use crate::attempt::{self, Answer, Rest};
+use crate::board::Board;
+use crate::prelude::*;
+use crate::respond::{cut_event, refuse};
+use crate::worker::{Admission, Worker};
+
+const CLASS_HEADER: &str = "x-request-class";
+
+/// Holds the fields of a completion request that decide where it goes.
+#[derive(Deserialize)]
+struct Head {
+    model: String,
+    #[serde(default)]
+    stream: Option<bool>,
+}
+
+/// Holds a request that was checked against the configuration.
+struct Checked {
+    adapter: AdapterVersion,
+    class: RequestClass,
+    stream: bool,
+    revision: u64,
+}
+
+/// Answers a completion request at `path`.
+pub(crate) async fn answer(
+    worker: Rc<Worker>,
+    req: HttpRequest,
+    payload: Payload,
+    path: &'static str,
+) -> HttpResponse {
+    worker.metrics.requests.inc();
+    let span = tracing::info_span!("gateway", path);
+    adopt(&span, header_text(&req, "traceparent").unwrap_or_default());
+    let result = serve(&worker, &req, payload, path).instrument(span).await;
+    result.unwrap_or_else(|refusal| {
+        worker.metrics.refuse(refusal.code);
+        refuse(&refusal)
+    })
+}
+
+async fn serve(
+    worker: &Rc<Worker>,
+    req: &HttpRequest,
+    payload: Payload,
+    path: &'static str,
+) -> Result<HttpResponse, Refusal> {
+    let started = worker.clock.now();
+    let admission = worker.admit()?;
+    let board = worker.board()?;
+    let organisation = authenticate(&board, req)?;
+    let body = read_body(worker, payload).await?;
+    let checked = check(&board, req, &organisation, &body)?;
+    let deadline = started + Duration::from_millis(checked.class.deadline_ms.into());
+    let worth = checked.class.worth;
+    let stream = checked.stream;
+    let order = order(worker, req, path, body, checked);
+    let answer = attempt::start(worker, order, deadline).await?;
+    let first_byte = worker.clock.now().saturating_sub(started);
+    worker.metrics.first_byte_s.observe(first_byte.as_secs_f64());
+    let delivery = Delivery { worker: worker.clone(), worth, _admission: admission };
+    match stream && answer.status == StatusCode::OK.as_u16() {
+        true => Ok(stream_answer(answer, delivery)),
+        false => plain_answer(answer, delivery).await,
+    }
+}
+
+/// Finds the organisation whose key the caller shows.
+pub(crate) fn authenticate(board: &Board, req: &HttpRequest) -> Result<Name, Refusal> {
+    let bad_key = |detail: &str| Refusal::not_run(Code::BadKey, detail);
+    let key = bearer(req).ok_or_else(|| bad_key("send `Authorization: Bearer KEY`"))?;
+    let config = config(board)?;
+    let organisation = config.organisation_of(&KeyHash::of(key)).cloned();
+    organisation.ok_or_else(|| bad_key("no organisation has this key"))
+}
+
+/// Returns the bearer key that a request shows.
+pub(crate) fn bearer(req: &HttpRequest) -> Option<&str> {
+    header_text(req, header::AUTHORIZATION.as_str())?.strip_prefix("Bearer ").map(str::trim)
+}
+
+pub(crate) fn config(board: &Board) -> Result<Arc<Config>, Refusal> {
+    board.snapshot.view.config.clone().ok_or_else(|| {
+        let refusal = Refusal::not_run(Code::ConfigInDoubt, "no configuration is known here yet");
+        refusal.retry_after_ms(1_000)
+    })
+}
+
+pub(crate) fn header_text<'a>(req: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    req.headers().get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Reads a body within the limits of size and time.
+pub(crate) async fn read_body(worker: &Worker, mut payload: Payload) -> Result<Bytes, Refusal> {
+    let limits = &worker.cfg.limits;
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.recv().await {
+            let chunk = chunk
+                .map_err(|e| Refusal::not_run(Code::MalformedRequest, format!("the body: {e}")))?;
+            if body.len() + chunk.len() > limits.body_bytes_max {
+                let detail = format!("at most {} bytes are taken", limits.body_bytes_max);
+                return Err(Refusal::not_run(Code::BodyTooLarge, detail));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    let limit = Duration::from_millis(limits.body_timeout_ms.into());
+    let late = || Refusal::not_run(Code::RequestTimeout, "the body arrived too slowly");
+    ntex::time::timeout(limit, read).await.unwrap_or_else(|()| Err(late()))
+}
+
+fn check(
+    board: &Board,
+    req: &HttpRequest,
+    organisation: &Name,
+    body: &[u8],
+) -> Result<Checked, Refusal> {
+    let config = config(board)?;
+    let head: Head = serde_json::from_slice(body)
+        .map_err(|e| Refusal::not_run(Code::MalformedRequest, format!("the body: {e}")))?;
+    let adapter: AdapterVersion = head
+        .model
+        .parse()
+        .map_err(|e: guavaspread_model::Error| Refusal::not_run(e.code(), e.to_string()))?;
+    if adapter.organisation() != organisation {
+        let detail = format!("{adapter} does not belong to {organisation}");
+        return Err(Refusal::not_run(Code::OtherOrganisation, detail));
+    }
+    let declared = config.adapter(&adapter).ok_or_else(|| {
+        Refusal::not_run(Code::UnknownAdapter, format!("{adapter} is not registered"))
+    })?;
+    let class = class_of(&config, declared, req)?;
+    refuse_in_doubt(board, &adapter, &class, req)?;
+    let stream = head.stream.unwrap_or(false);
+    Ok(Checked { adapter, class, stream, revision: config.revision })
+}
+
+fn class_of(
+    config: &Config,
+    declared: &Adapter,
+    req: &HttpRequest,
+) -> Result<RequestClass, Refusal> {
+    let adapters_own = declared.class.as_ref().map_or(DEFAULT_CLASS, Name::as_str);
+    let name = header_text(req, CLASS_HEADER).unwrap_or(adapters_own);
+    config.class(name).ok_or_else(|| {
+        Refusal::not_run(Code::UnknownClass, format!("there is no request class `{name}`"))
+    })
+}
+
+/// Refuses a request that the configuration in doubt would treat differently.
+fn refuse_in_doubt(
+    board: &Board,
+    adapter: &AdapterVersion,
+    class: &RequestClass,
+    req: &HttpRequest,
+) -> Result<(), Refusal> {
+    let Some(doubt) = &board.snapshot.view.doubt else {
+        return Ok(());
+    };
+    let same_class = || {
+        let declared = doubt.adapter(adapter)?;
+        class_of(doubt, declared, req).ok().filter(|other| other == class)
+    };
+    let same_key = || {
+        let key = KeyHash::of(bearer(req)?);
+        doubt.organisation_of(&key).filter(|name| *name == adapter.organisation())
+    };
+    if same_class().is_some() && same_key().is_some() {
+        return Ok(());
+    }
+    let detail = "a change that concerns this request may have come into force";
+    Err(Refusal::not_run(Code::ConfigInDoubt, detail).retry_after_ms(2_000))
+}
+
+fn order(
+    worker: &Worker,
+    req: &HttpRequest,
+    path: &str,
+    body: Bytes,
+    checked: Checked,
+) -> RunOrder {
+    let demand = worker.count_demand(&checked.adapter) as f32;
+    RunOrder {
+        id: rand::random(),
+        // Filled in for each attempt.
+        engine: checked.adapter.adapter().clone(),
+        adapter: checked.adapter,
+        demand,
+        path: path.to_owned(),
+        content_type: header_text(req, header::CONTENT_TYPE.as_str()).map(str::to_owned),
+        body: bytes::Bytes::copy_from_slice(&body),
+        stream: checked.stream,
+        deadline_ms: checked.class.deadline_ms,
+        worth: checked.class.worth,
+        priority: checked.class.priority,
+        repeatable: checked.class.repeatable,
+        events_seen: 0,
+        revision: checked.revision,
+        trace: TraceContext { traceparent: traceparent(&tracing::Span::current()) },
+    }
+}
+
+/// Counts an answer once it was delivered whole.
+struct Delivery {
+    worker: Rc<Worker>,
+    worth: u32,
+    _admission: Admission,
+}
+
+impl Delivery {
+    fn whole(&self) {
+        self.worker.metrics.whole.inc();
+        self.worker.metrics.worth.inc_by(self.worth.into());
+    }
+}
+
+async fn plain_answer(answer: Answer, delivery: Delivery) -> Result<HttpResponse, Refusal> {
+    let Answer { status, content_type, mut rest } = answer;
+    let mut body = BytesMut::new();
+    loop {
+        match rest.next().await? {
+            RunEvent::Data(data) => body.extend_from_slice(&data),
+            RunEvent::Done => break,
+            RunEvent::Refused(refusal) => return Err(refusal),
+            RunEvent::Head { .. } => {}
+        }
+    }
+    delivery.whole();
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut res = HttpResponse::build(status);
+    res.content_type(content_type.as_deref().unwrap_or("application/json"));
+    Ok(res.body(body.freeze()))
+}
+
+struct EventStream {
+    rest: Rest,
+    delivery: Delivery,
+}
+
+/// Relays events as they come. A stream that was cut ends with an `error` event and
+/// without the end marker.
+fn stream_answer(answer: Answer, delivery: Delivery) -> HttpResponse {
+    let state = EventStream { rest: answer.rest, delivery };
+    let events = futures::stream::unfold(Some(state), |state| async move {
+        let mut state = state?;
+        let (text, state) = match state.rest.next().await {
+            Ok(RunEvent::Data(data)) => {
+                let mut text = Vec::with_capacity(data.len() + 8);
+                text.extend_from_slice(b"data: ");
+                text.extend_from_slice(&data);
+                text.extend_from_slice(b"\n\n");
+                (text, Some(state))
+            }
+            Ok(RunEvent::Done) => {
+                state.delivery.whole();
+                (b"data: [DONE]\n\n".to_vec(), None)
+            }
+            Ok(RunEvent::Head { .. }) => (Vec::new(), Some(state)),
+            Ok(RunEvent::Refused(refusal)) | Err(refusal) => {
+                state.delivery.worker.metrics.cut.inc();
+                state.delivery.worker.metrics.refuse(refusal.code);
+                (cut_event(&refusal).into_bytes(), None)
+            }
+        };
+        Some((Ok::<_, std::io::Error>(Bytes::from(text)), state))
+    });
+    HttpResponse::Ok()
+        .header(header::CONTENT_TYPE, "text/event-stream")
+        .header(header::CACHE_CONTROL, "no-cache")
+        .streaming(Box::pin(events))
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,224 @@
+//! The control thread.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::thread;
+
+use futures::future::join_all;
+use guavaspread_config::{Member, Outcome};
+use guavaspread_control::{Follower, OWNER_PREFIX, Snapshot, propose};
+use guavaspread_model::Change;
+use guavaspread_ownership::OwnerRow;
+use guavaspread_platform::{HttpPlatform, Platform};
+use guavaspread_settings::GatewaySettings;
+use guavaspread_wire::{Ask, DigestEntry, Identity, StatusReply};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, timeout_at};
+
+use crate::board::Board;
+use crate::links::Links;
+use crate::prelude::*;
+
+const STEP_INTERVAL: Duration = Duration::from_millis(250);
+const OWNERS_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Dispatchers asked for their digests in one step.
+const DIGESTS_PER_STEP: usize = 4;
+
+/// Asks the control thread for something.
+pub(crate) enum Request {
+    /// Proposes changes.
+    Propose { changes: Vec<Change>, reply: oneshot::Sender<Outcome> },
+    /// Asks every dispatcher what it holds.
+    Status { reply: oneshot::Sender<Vec<StatusReply>> },
+    /// Takes this process off the list of members.
+    Leave { reply: oneshot::Sender<()> },
+}
+
+/// Reaches the control thread.
+#[derive(Clone)]
+pub(crate) struct ControlHandle {
+    pub(crate) requests: mpsc::UnboundedSender<Request>,
+    pub(crate) board: watch::Receiver<Option<Arc<Board>>>,
+}
+
+struct Control {
+    clock: Clock,
+    host: Name,
+    platform: Rc<dyn Platform>,
+    follower: Follower,
+    links: Rc<Links>,
+    owners: BTreeMap<Name, Name>,
+    owners_at: Option<Duration>,
+    digests: BTreeMap<Name, Arc<DigestEntry>>,
+    next_digest: usize,
+    board: watch::Sender<Option<Arc<Board>>>,
+}
+
+/// Starts the control thread.
+pub(crate) fn spawn(
+    cfg: &GatewaySettings,
+    identity: Identity,
+    clock: Clock,
+) -> std::io::Result<ControlHandle> {
+    let (requests, rx) = mpsc::unbounded_channel();
+    let (tx, board) = watch::channel(None);
+    let process = cfg.process.clone();
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
+        system.block_on(async move {
+            let (platform, links): (Rc<dyn Platform>, Links) =
+                match (HttpPlatform::new(process.platform).await, Links::new(&identity)) {
+                    (Ok(platform), Ok(links)) => (Rc::new(platform), links),
+                    (Err(e), _) => return log::error!("the control thread can't start: {e}"),
+                    (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
+                };
+            let member = Member { host: process.host.clone(), process: gateway_name() };
+            let control = Control {
+                clock,
+                host: process.host,
+                follower: Follower::new(platform.clone(), clock, member),
+                platform,
+                links: Rc::new(links),
+                owners: BTreeMap::new(),
+                owners_at: None,
+                digests: BTreeMap::new(),
+                next_digest: 0,
+                board: tx,
+            };
+            control.run(rx).await;
+        });
+    })?;
+    Ok(ControlHandle { requests, board })
+}
+
+fn gateway_name() -> Name {
+    Name::new("gateway").unwrap_or_else(|_| unreachable!("the name is valid"))
+}
+
+impl Control {
+    async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Request>) {
+        loop {
+            self.step().await;
+            let next_step = Instant::now() + STEP_INTERVAL;
+            while let Ok(request) = timeout_at(next_step, rx.recv()).await {
+                match request {
+                    Some(request) => self.on_request(request).await,
+                    None => return,
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) {
+        self.follower.step().await;
+        self.read_owners().await;
+        let snapshot = self.follower.snapshot();
+        self.read_digests(&snapshot).await;
+        let board = Board::new(snapshot, &self.owners, &self.digests);
+        // Traffic threads that have ended need no board.
+        let _ = self.board.send(Some(Arc::new(board)));
+    }
+
+    async fn on_request(&mut self, request: Request) {
+        match request {
+            Request::Propose { changes, reply } => self.propose(changes, reply),
+            Request::Status { reply } => self.status(reply),
+            Request::Leave { reply } => {
+                self.follower.leave().await;
+                // The process may have stopped waiting.
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    /// Carries a change in a task of its own: this process has to follow it meanwhile.
+    fn propose(&self, changes: Vec<Change>, reply: oneshot::Sender<Outcome>) {
+        let Some(config) = self.follower.snapshot().view.config else {
+            let refusal =
+                Refusal::not_run(Code::ConfigInDoubt, "no configuration is known here yet");
+            let _ = reply.send(Outcome::Rejected(refusal.retry_after_ms(1_000)));
+            return;
+        };
+        let (platform, clock, host) = (self.platform.clone(), self.clock, self.host.clone());
+        ntex::rt::spawn(async move {
+            let outcome = propose(&platform, clock, host, changes, &config).await;
+            // An operator that went away finds the outcome by asking for the revision.
+            let _ = reply.send(outcome);
+        });
+    }
+
+    fn status(&self, reply: oneshot::Sender<Vec<StatusReply>>) {
+        let dispatchers = dispatchers(&self.follower.snapshot());
+        let links = self.links.clone();
+        ntex::rt::spawn(async move {
+            let asks = dispatchers.iter().map(|(_, address)| links.ask(*address, &Ask::Status));
+            let replies = join_all(asks).await.into_iter().filter_map(Result::ok).collect();
+            let _ = reply.send(replies);
+        });
+    }
+
+    async fn read_owners(&mut self) {
+        let now = self.clock.now();
+        if self.owners_at.is_some_and(|at| now < at + OWNERS_INTERVAL) {
+            return;
+        }
+        match self.platform.list(OWNER_PREFIX).await {
+            Ok(rows) => {
+                self.owners_at = Some(now);
+                self.owners.clear();
+                for row in rows {
+                    let engine = row.key.strip_prefix(OWNER_PREFIX).map(Name::new);
+                    let owner = serde_json::from_str::<OwnerRow>(&row.value);
+                    if let (Some(Ok(engine)), Ok(owner)) = (engine, owner) {
+                        self.forget_older_digest(&engine, owner.fence);
+                        self.owners.insert(engine, owner.holder.host);
+                    }
+                }
+            }
+            Err(e) => log::debug!("the owners can't be read: {e}"),
+        }
+    }
+
+    /// Drops what a former owner said.
+    fn forget_older_digest(&mut self, engine: &Name, fence: u64) {
+        if self.digests.get(engine).is_some_and(|digest| digest.fence < fence) {
+            self.digests.remove(engine);
+        }
+    }
+
+    /// Asks the next few dispatchers, so that the cost does not grow with the fleet.
+    async fn read_digests(&mut self, snapshot: &Snapshot) {
+        let dispatchers = dispatchers(snapshot);
+        if dispatchers.is_empty() {
+            return;
+        }
+        let count = DIGESTS_PER_STEP.min(dispatchers.len());
+        let chosen: Vec<&(Name, SocketAddr)> =
+            (0..count).map(|i| &dispatchers[(self.next_digest + i) % dispatchers.len()]).collect();
+        self.next_digest = (self.next_digest + count) % dispatchers.len();
+        let links = &self.links;
+        let asks = chosen.iter().map(|(_, address)| links.ask(*address, &Ask::Digests));
+        let answers: Vec<Result<Vec<DigestEntry>, String>> = join_all(asks).await;
+        for ((host, _), answer) in chosen.iter().zip(answers) {
+            match answer {
+                Ok(digests) => digests.into_iter().for_each(|digest| self.on_digest(digest)),
+                Err(e) => {
+                    log::debug!("no digests from {host}: {e}");
+                    self.digests.retain(|_, digest| digest.owner != *host);
+                }
+            }
+        }
+    }
+
+    fn on_digest(&mut self, digest: DigestEntry) {
+        let known = self.digests.get(&digest.host).map(|known| known.fence);
+        if known.is_none_or(|fence| fence <= digest.fence) {
+            self.digests.insert(digest.host.clone(), Arc::new(digest));
+        }
+    }
+}
+
+fn dispatchers(snapshot: &Snapshot) -> Vec<(Name, SocketAddr)> {
+    let hosts = snapshot.hosts.iter().filter(|host| host.is_entry_host());
+    hosts.map(|host| (host.name.clone(), host.address)).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,88 @@
+//! QUIC connections to dispatchers.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, SERVER_NAME, client_endpoint};
+use quinn::{Connection, Endpoint};
+use serde::de::DeserializeOwned;
+
+use crate::prelude::*;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Holds the connections of one thread; made inside that thread's runtime.
+pub(crate) struct Links {
+    endpoint: Endpoint,
+    connections: RefCell<HashMap<SocketAddr, Connection>>,
+}
+
+impl Links {
+    pub(crate) fn new(identity: &Identity) -> guavaspread_wire::Result<Self> {
+        let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        let endpoint = client_endpoint(identity, any)?;
+        Ok(Links { endpoint, connections: RefCell::default() })
+    }
+
+    /// Opens a stream and sends `ask` on it.
+    ///
+    /// Fails only if no part of `ask` can have been acted on.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        ask: &Ask,
+    ) -> Result<FrameReceiver, String> {
+        let connection = self.connection(address).await?;
+        let opened = ntex::time::timeout(CONNECT_TIMEOUT, connection.open_bi()).await;
+        let Ok(Ok((tx, rx))) = opened else {
+            self.forget(address);
+            return Err(format!("no stream to {address}"));
+        };
+        let mut tx = FrameSender::new(tx);
+        tx.send(ask).await.map_err(|e| e.to_string())?;
+        tx.finish();
+        Ok(FrameReceiver::new(rx))
+    }
+
+    /// Asks for one answer.
+    pub(crate) async fn ask<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        ask: &Ask,
+    ) -> Result<T, String> {
+        let answer = async {
+            let mut rx = self.open(address, ask).await?;
+            let answer = rx.recv::<T>().await.map_err(|e| e.to_string())?;
+            answer.ok_or_else(|| "no answer".to_owned())
+        };
+        match ntex::time::timeout(ASK_TIMEOUT, answer).await {
+            Ok(answer) => answer,
+            Err(()) => {
+                self.forget(address);
+                Err(format!("{address} did not answer in time"))
+            }
+        }
+    }
+
+    /// Leaves a connection, so that the next stream is opened on a new one.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.connections.borrow_mut().remove(&address);
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, String> {
+        let known = self.connections.borrow().get(&address).cloned();
+        if let Some(connection) = known.filter(|c| c.close_reason().is_none()) {
+            return Ok(connection);
+        }
+        let connecting = self.endpoint.connect(address, SERVER_NAME).map_err(|e| e.to_string())?;
+        match ntex::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(connection)) => {
+                self.connections.borrow_mut().insert(address, connection.clone());
+                Ok(connection)
+            }
+            Ok(Err(e)) => Err(format!("{address}: {e}")),
+            Err(()) => Err(format!("{address} did not accept a connection in time")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/operator.rs
@@ -0,0 +1,89 @@
+//! The operators' side of the gateway.
+
+use guavaspread_config::Outcome;
+use guavaspread_model::{Change, KeyHash};
+use guavaspread_wire::StatusReply;
+use ntex::web::types::{Json, State};
+use ntex::web::{HttpRequest, HttpResponse};
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::completion::bearer;
+use crate::control::Request;
+use crate::prelude::*;
+use crate::respond::refuse;
+use crate::worker::Worker;
+
+const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Accepted {
+    revision: u64,
+}
+
+/// Takes changes as JSON and answers once they are in force or rejected.
+pub(crate) async fn changes(
+    worker: State<Rc<Worker>>,
+    req: HttpRequest,
+    changes: Json<Vec<Change>>,
+) -> HttpResponse {
+    let outcome = match authorize(&worker, &req) {
+        Ok(()) => propose(&worker, changes.into_inner()).await,
+        Err(refusal) => return refuse(&refusal),
+    };
+    match outcome {
+        Outcome::Accepted(revision) => HttpResponse::Ok().json(&Accepted { revision }),
+        Outcome::Rejected(refusal) | Outcome::InDoubt(refusal) => refuse(&refusal),
+    }
+}
+
+/// Answers what every dispatcher holds.
+pub(crate) async fn status(worker: State<Rc<Worker>>, req: HttpRequest) -> HttpResponse {
+    match authorize(&worker, &req) {
+        Ok(()) => HttpResponse::Ok().json(&ask_status(&worker).await),
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+/// Tells operators from callers by the key that they show.
+pub(crate) fn authorize(worker: &Worker, req: &HttpRequest) -> Result<(), Refusal> {
+    let key = bearer(req);
+    let key =
+        key.ok_or_else(|| Refusal::not_run(Code::BadKey, "send `Authorization: Bearer KEY`"))?;
+    match worker.cfg.operator_keys.contains(&KeyHash::of(key)) {
+        true => Ok(()),
+        false => Err(Refusal::not_run(Code::NotOperator, "the key is not an operator's")),
+    }
+}
+
+async fn propose(worker: &Worker, changes: Vec<Change>) -> Outcome {
+    let (reply, outcome) = oneshot::channel();
+    let gone = || Refusal::not_run(Code::Stopping, "the gateway is stopping");
+    if worker.control.requests.send(Request::Propose { changes, reply }).is_err() {
+        return Outcome::Rejected(gone());
+    }
+    let lost = || Refusal::maybe_ran(Code::ChangeInDoubt, "the gateway is stopping");
+    let outcome = outcome.await.unwrap_or_else(|_| Outcome::InDoubt(lost()));
+    if let Outcome::Accepted(revision) = outcome {
+        wait_in_force(worker, revision).await;
+    }
+    outcome
+}
+
+/// Waits until this gateway has applied a revision, so that its operator's next request sees it.
+async fn wait_in_force(worker: &Worker, revision: u64) {
+    let mut board = worker.control.board.clone();
+    let applied = board.wait_for(|board| {
+        board.as_ref().is_some_and(|board| board.snapshot.revision() >= revision)
+    });
+    // The change is accepted all the same when this gateway is late.
+    let _ = ntex::time::timeout(APPLY_TIMEOUT, applied).await;
+}
+
+async fn ask_status(worker: &Worker) -> Vec<StatusReply> {
+    let (reply, status) = oneshot::channel();
+    // Without a control thread there is nothing to show.
+    let _ = worker.control.requests.send(Request::Status { reply });
+    status.await.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,54 @@
+//! The process: its endpoints and its end in order.
+
+use eyre::{Context, Result};
+use guavaspread_control::Stop;
+use guavaspread_settings::GatewaySettings;
+use ntex::time::Seconds;
+use ntex::web::{self, App, HttpServer};
+use tokio::sync::oneshot;
+
+use crate::api;
+use crate::control::{self, Request};
+use crate::metrics::Metrics;
+use crate::prelude::*;
+use crate::worker::Worker;
+
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs a gateway until it is asked to stop; call it inside an ntex system.
+///
+/// # Errors
+///
+/// Fails when an address is taken or the identity is unusable.
+pub async fn run(cfg: GatewaySettings, mut stop: Stop) -> Result<()> {
+    let identity = cfg.tls.identity()?;
+    let clock = Clock::start();
+    let control = control::spawn(&cfg, identity.clone(), clock)?;
+    let metrics = Metrics::new();
+    let drain = Seconds((cfg.limits.drain_ms / 1_000).min(u16::MAX.into()) as u16);
+    let (shared, handle) = (cfg.clone(), control.clone());
+    let server = HttpServer::new(async move || {
+        let (cfg, identity) = (shared.clone(), identity.clone());
+        let (control, metrics) = (handle.clone(), metrics.clone());
+        App::new()
+            .state_factory(async move || Worker::new(cfg, &identity, clock, control, metrics))
+            .configure(api::configure)
+            .default_service(web::route().to(api::unknown_path))
+    });
+    let server = server
+        .workers(cfg.threads)
+        .disable_signals()
+        .shutdown_timeout(drain)
+        .bind(cfg.listen)
+        .wrap_err_with(|| format!("listening on {}", cfg.listen))?
+        .run();
+    log::info!("{} serves callers on {}", cfg.process.host, cfg.listen);
+    stop.asked().await;
+    server.stop(true).await;
+    let (reply, done) = oneshot::channel();
+    if control.requests.send(Request::Leave { reply }).is_ok() {
+        // A member row that stays is passed over once the host is off the platform's list.
+        let _ = ntex::time::timeout(LEAVE_TIMEOUT, done).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/worker.rs
@@ -0,0 +1,186 @@
+//! One traffic thread.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use guavaspread_placement::{DemandMap, EngineKey, RetryBudget, Route, Router};
+use guavaspread_settings::GatewaySettings;
+use guavaspread_wire::Identity;
+use slotmap::SecondaryMap;
+
+use crate::board::Board;
+use crate::control::ControlHandle;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::prelude::*;
+
+const DEMAND_ENTRIES_MAX: usize = 16_384;
+const RETRY_BURST: f64 = 20.0;
+
+struct Known {
+    host: Name,
+    dispatcher: Option<SocketAddr>,
+    statement: Option<(u64, u64)>,
+}
+
+/// Names the engine chosen for an attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) key: EngineKey,
+    pub(crate) host: Name,
+    pub(crate) dispatcher: SocketAddr,
+}
+
+/// Holds what one traffic thread needs.
+pub(crate) struct Worker {
+    pub(crate) cfg: GatewaySettings,
+    pub(crate) clock: Clock,
+    pub(crate) control: ControlHandle,
+    pub(crate) metrics: Metrics,
+    pub(crate) links: Links,
+    router: RefCell<Router>,
+    known: RefCell<SecondaryMap<EngineKey, Known>>,
+    seen: RefCell<Option<Arc<Board>>>,
+    demand: RefCell<DemandMap<AdapterVersion>>,
+    retries: RefCell<RetryBudget>,
+    under_way: Cell<usize>,
+}
+
+impl Worker {
+    pub(crate) fn new(
+        cfg: GatewaySettings,
+        identity: &Identity,
+        clock: Clock,
+        control: ControlHandle,
+        metrics: Metrics,
+    ) -> guavaspread_wire::Result<Rc<Self>> {
+        let policy = cfg.policy();
+        let demand = DemandMap::new(policy.demand_half_life(), DEMAND_ENTRIES_MAX);
+        let retries = RetryBudget::new(cfg.limits.retry_share, RETRY_BURST);
+        Ok(Rc::new(Worker {
+            cfg,
+            clock,
+            control,
+            metrics,
+            links: Links::new(identity)?,
+            router: RefCell::new(Router::new(policy)),
+            known: RefCell::default(),
+            seen: RefCell::default(),
+            demand: RefCell::new(demand),
+            retries: RefCell::new(retries),
+            under_way: Cell::new(0),
+        }))
+    }
+
+    /// Returns what the control thread showed last.
+    pub(crate) fn board(&self) -> Result<Arc<Board>, Refusal> {
+        let board = self.control.board.borrow().clone();
+        let board = board.ok_or_else(|| {
+            let refusal =
+                Refusal::not_run(Code::ConfigInDoubt, "no configuration is known here yet");
+            refusal.retry_after_ms(1_000)
+        })?;
+        self.sync(&board);
+        Ok(board)
+    }
+
+    /// Counts a request and returns the decayed count for its adapter.
+    pub(crate) fn count_demand(&self, adapter: &AdapterVersion) -> f64 {
+        let now = self.clock.now();
+        let mut demand = self.demand.borrow_mut();
+        demand.add(adapter, now);
+        demand.count(adapter, now)
+    }
+
+    /// Chooses an engine, leaving out those tried before.
+    pub(crate) fn route(&self, adapter: &AdapterVersion, tried: &[EngineKey]) -> Option<Chosen> {
+        let route = self.router.borrow_mut().route(adapter, tried, self.clock.now());
+        let key = match route {
+            Route::Hit(key) | Route::Load(key) => key,
+            Route::None => return None,
+        };
+        let known = self.known.borrow();
+        let known = known.get(key)?;
+        Some(Chosen { key, host: known.host.clone(), dispatcher: known.dispatcher? })
+    }
+
+    pub(crate) fn on_attempt_ended(&self, key: EngineKey) {
+        self.router.borrow_mut().on_finished(key);
+    }
+
+    pub(crate) fn on_attempt_failed(&self, key: EngineKey) {
+        self.router.borrow_mut().on_failed(key, self.clock.now());
+    }
+
+    pub(crate) fn on_first_attempt(&self) {
+        self.retries.borrow_mut().on_request();
+    }
+
+    pub(crate) fn try_retry(&self) -> bool {
+        let allowed = self.retries.borrow_mut().try_retry();
+        if allowed {
+            self.metrics.retries.inc();
+        }
+        allowed
+    }
+
+    /// Admits a request until the guard is dropped, unless too many are under way.
+    pub(crate) fn admit(self: &Rc<Self>) -> Result<Admission, Refusal> {
+        let limit = self.cfg.limits.requests_max.div_ceil(self.cfg.threads);
+        if self.under_way.get() >= limit {
+            let refusal = Refusal::not_run(Code::Overloaded, "too many requests are under way");
+            return Err(refusal.retry_after_ms(1_000));
+        }
+        self.under_way.set(self.under_way.get() + 1);
+        self.metrics.under_way.inc();
+        Ok(Admission { worker: self.clone() })
+    }
+
+    /// Takes over a new board into the router.
+    fn sync(&self, board: &Arc<Board>) {
+        if self.seen.borrow().as_ref().is_some_and(|seen| Arc::ptr_eq(seen, board)) {
+            return;
+        }
+        let mut router = self.router.borrow_mut();
+        let mut known = self.known.borrow_mut();
+        let keys: HashMap<Name, EngineKey> =
+            known.iter().map(|(key, engine)| (engine.host.clone(), key)).collect();
+        for (host, key) in &keys {
+            if !board.engines.iter().any(|entry| entry.host == *host) {
+                router.remove(*key);
+                known.remove(*key);
+            }
+        }
+        for entry in &board.engines {
+            let view = entry.view(&self.cfg.process.zone, self.cfg.engine.batch as u32);
+            let key = *keys.get(&entry.host).unwrap_or(&EngineKey::default());
+            let statement = entry.statement();
+            let key = match known.get(key) {
+                None => router.insert(view),
+                Some(old) if old.statement != statement => {
+                    router.report(key, view);
+                    key
+                }
+                Some(_) => {
+                    router.set_open(key, entry.open);
+                    key
+                }
+            };
+            let host = entry.host.clone();
+            known.insert(key, Known { host, dispatcher: entry.dispatcher, statement });
+        }
+        *self.seen.borrow_mut() = Some(board.clone());
+    }
+}
+
+/// Counts one request as under way.
+pub(crate) struct Admission {
+    worker: Rc<Worker>,
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        self.worker.under_way.set(self.worker.under_way.get() - 1);
+        self.worker.metrics.under_way.dec();
+    }
+}
--- /dev/null
+++ b/crates/keys/src/lib.rs
@@ -0,0 +1,78 @@
+//! # guavaspread keys
+//!
+//! Makes a private authority, certificates for the processes, and bearer keys.
+//!
+//! | to | reach for |
+//! |---|---|
+//! | start a deployment's authority | [`Authority::generate`] |
+//! | give a process its certificate | [`Authority::issue`] |
+//! | make a bearer key | [`bearer_key`] |
+
+use rand::RngExt;
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, DnType, ExtendedKeyUsagePurpose, IsCa,
+    KeyPair, KeyUsagePurpose,
+};
+
+/// The name that every process's certificate carries.
+const PROCESS_NAME: &str = "guavaspread.internal";
+const BEARER_KEY_CHARS: usize = 40;
+
+/// Alias for a `Result` with the certificate library's error.
+pub type Result<T> = std::result::Result<T, rcgen::Error>;
+
+/// Holds a certificate and its key as PEM texts.
+pub struct Pem {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+/// Signs the certificates of one deployment's processes.
+pub struct Authority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl Authority {
+    /// Makes a new authority.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no key can be generated.
+    pub fn generate() -> Result<Self> {
+        let mut params = CertificateParams::new(Vec::new())?;
+        params.distinguished_name.push(DnType::CommonName, "guavaspread authority");
+        params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
+        Ok(Authority { issuer })
+    }
+
+    /// Returns the authority's certificate and key.
+    pub fn pem(&self) -> Pem {
+        Pem { certificate: self.issuer.pem(), key: self.issuer.key().serialize_pem() }
+    }
+
+    /// Issues a certificate for the process `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no key can be generated.
+    pub fn issue(&self, name: &str) -> Result<Pem> {
+        let mut params = CertificateParams::new(vec![PROCESS_NAME.to_owned()])?;
+        params.distinguished_name.push(DnType::CommonName, name);
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+        let key = KeyPair::generate()?;
+        let certificate = params.signed_by(&key, &self.issuer)?;
+        Ok(Pem { certificate: certificate.pem(), key: key.serialize_pem() })
+    }
+}
+
+/// Makes a random bearer key that starts with `prefix`.
+pub fn bearer_key(prefix: &str) -> String {
+    let mut rng = rand::rng();
+    let chars = (0..BEARER_KEY_CHARS).map(|_| rng.sample(rand::distr::Alphanumeric) as char);
+    format!("{prefix}-{}", chars.collect::<String>())
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,111 @@
+//! The platform over its HTTP interface.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use guavaspread_model::Host;
+use ntex::client::error::ClientError;
+use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
+use ntex::http::StatusCode;
+use ntex::time::{Millis, Seconds};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, ErrorCode, Result};
+use crate::table::{Committed, Conflict, Platform, Row, Transaction};
+
+const CALL_TIMEOUT_MS: u32 = 1_000;
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+const CONNECTION_LIFETIME: Seconds = Seconds(30);
+
+/// Speaks to the platform over HTTP; belongs to one thread.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    base: String,
+}
+
+#[derive(Serialize)]
+struct KeyQuery<'a> {
+    key: &'a str,
+}
+
+#[derive(Serialize)]
+struct PrefixQuery<'a> {
+    prefix: &'a str,
+}
+
+impl HttpPlatform {
+    /// Prepares a client for the platform at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client can't be built.
+    pub async fn new(address: SocketAddr) -> Result<Self> {
+        let connector = Connector::default().limit(0).lifetime(CONNECTION_LIFETIME);
+        let client = Client::builder()
+            .connector::<()>(connector)
+            .response_timeout(Millis(CALL_TIMEOUT_MS))
+            .response_payload_limit(ANSWER_BYTES_MAX)
+            .disable_redirects()
+            .build(ntex::SharedCfg::default())
+            .await
+            .map_err(|e| Error::new(ErrorCode::Unreachable, e))?;
+        Ok(HttpPlatform { client, base: format!("http://{address}") })
+    }
+
+    async fn read<T: DeserializeOwned>(&self, req: ClientRequest) -> Result<T> {
+        let res = req.send().await.map_err(failed_send)?;
+        if res.status() != StatusCode::OK {
+            return Err(Error::new(ErrorCode::Unreachable, res.status()));
+        }
+        parse(&res).await
+    }
+}
+
+async fn parse<T: DeserializeOwned>(res: &ClientResponse) -> Result<T> {
+    let body = res.body().limit(ANSWER_BYTES_MAX).await;
+    let body = body.map_err(|e| Error::new(ErrorCode::AnswerLost, e))?;
+    serde_json::from_slice(&body).map_err(|e| Error::new(ErrorCode::BadAnswer, e))
+}
+
+/// Tells a request that never left from one whose answer is missing.
+fn failed_send(error: ClientError) -> Error {
+    let left = !matches!(error, ClientError::Connect(_));
+    let code = if left { ErrorCode::AnswerLost } else { ErrorCode::Unreachable };
+    Error::new(code, error)
+}
+
+#[async_trait(?Send)]
+impl Platform for HttpPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Row>> {
+        let req = self.client.get(format!("{}/table/row", self.base));
+        let req =
+            req.query(&KeyQuery { key }).map_err(|e| Error::new(ErrorCode::Unreachable, e))?;
+        self.read(req).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Row>> {
+        let req = self.client.get(format!("{}/table/rows", self.base));
+        let req = req.query(&PrefixQuery { prefix });
+        self.read(req.map_err(|e| Error::new(ErrorCode::Unreachable, e))?).await
+    }
+
+    async fn commit(&self, tx: &Transaction) -> Result<Committed> {
+        let req = self.client.post(format!("{}/table/commit", self.base));
+        let res = req.send_json(tx).await.map_err(failed_send)?;
+        match res.status() {
+            StatusCode::OK => parse(&res).await,
+            StatusCode::CONFLICT => {
+                let conflict: Conflict = parse(&res).await?;
+                Err(Error::conflict(conflict.key))
+            }
+            StatusCode::SERVICE_UNAVAILABLE => Err(Error::unreachable(res.status())),
+            status => Err(Error::answer_lost(status)),
+        }
+    }
+
+    async fn hosts(&self) -> Result<Vec<Host>> {
+        self.read(self.client.get(format!("{}/hosts", self.base))).await
+    }
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,32 @@
+//! Serving a stand-in on a thread of its own.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+use ntex::web::{self, App, ServiceConfig};
+
+/// Opens the listener that a stand-in serves on.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+}
+
+/// Serves `configure`d routes on `listener` until the process ends.
+pub(crate) fn spawn<F>(name: &str, listener: TcpListener, configure: F) -> io::Result<()>
+where
+    F: Fn(&mut ServiceConfig) + Clone + Send + Sync + 'static,
+{
+    let name = name.to_owned();
+    thread::Builder::new().name(name.clone()).spawn(move || {
+        let system = ntex::rt::System::new(&name, ntex::rt::DefaultRuntime);
+        system.block_on(async move {
+            let server =
+                web::HttpServer::new(async move || App::new().configure(configure.clone()))
+                    .workers(1)
+                    .disable_signals()
+                    .listen(listener)?;
+            server.run().await
+        })
+    })?;
+    Ok(())
+}
