--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! numbered refusal.
 //!
 //! The control thread follows the platform and the dispatchers; each traffic
-//! thread has a [`Worker`](worker::Worker) of its own and reads immutable
+//! thread has a worker of its own and reads immutable
 //! snapshots.
 //!
 //! | to | reach for |
