Run non-repeatable requests at most once, and route plain services

Cause: a booking confirmation may run at most once, whichever gateway its repeats come through, while the table loses answers and processes die. The claims crate decides over one row per key; the gateway drives it, in a task that outlives the caller.

Found on the way, each failing first: a process started after the first commit never got a configuration (crates/config/tests/regression/replaced_host.rs; seen as a restarted gateway that was not ready within 20 s, ready after). Test ports collided with each other; stand-ins now take ports from the system.

Ruled out: taking a row over from a silent claimer after a time, because it may have sent the request; polling for a live claimer's answer instead.

--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -41,7 +41,9 @@
 /// Follows the head row and keeps the configuration that it names.
 #[derive(Clone, Debug)]
 pub struct Replica {
-    config: Option<Arc<Config>>,
+    config: Arc<Config>,
+    /// Whether `config` was once as new as the head.
+    caught_up: bool,
     staged: Option<StagedConfig>,
     head: Head,
     contact_at: Duration,
@@ -54,7 +56,8 @@
     /// `grace` is how long the head may stay unread before a staged change is in doubt.
     pub fn new(grace: Duration) -> Self {
         Replica {
-            config: None,
+            config: Arc::default(),
+            caught_up: false,
             staged: None,
             head: Head::default(),
             contact_at: Duration::ZERO,
@@ -69,9 +72,6 @@
             return self.next();
         }
         self.head = head;
-        if self.head.committed == 0 && self.config.is_none() {
-            self.config = Some(Arc::new(Config::default()));
-        }
         self.settle_staged();
         self.next()
     }
@@ -86,8 +86,8 @@
 
     /// Starts from a whole configuration, such as a snapshot.
     pub fn on_snapshot(&mut self, config: Config) {
-        if self.revision() < config.revision || self.config.is_none() {
-            self.config = Some(Arc::new(config));
+        if self.config.revision < config.revision {
+            self.config = Arc::new(config);
         }
     }
 
@@ -111,15 +111,17 @@
     pub fn view(&self, now: Duration) -> View {
         let silent = now.saturating_sub(self.contact_at) > self.grace;
         let staged = self.staged.as_ref().filter(|staged| silent && staged.acknowledged);
-        View { config: self.config.clone(), doubt: staged.map(|staged| staged.config.clone()) }
+        let config = self.caught_up.then(|| self.config.clone());
+        View { config, doubt: staged.map(|staged| staged.config.clone()) }
     }
 
     /// Returns the revision in force here.
     pub fn revision(&self) -> u64 {
-        self.config.as_ref().map_or(0, |config| config.revision)
+        self.config.revision
     }
 
-    fn next(&self) -> Follow {
+    fn next(&mut self) -> Follow {
+        self.caught_up |= self.revision() == self.head.committed;
         if self.revision() < self.head.committed {
             return Follow::Fetch { from: self.revision() + 1, to: self.head.committed };
         }
@@ -136,19 +138,17 @@
     }
 
     fn on_record(&mut self, record: &ChangeRecord) {
-        let Some(config) = &self.config else {
-            return;
-        };
+        let config = &self.config;
         if record.base != config.revision || record.revision <= config.revision {
             return;
         }
-        let mut next = (**config).clone();
+        let mut next = Config::clone(config);
         // Proposers check a change against the same base, so one that fails here never commits.
         if next.apply_all(&record.changes, record.revision).is_err() {
             return;
         }
         if record.revision <= self.head.committed {
-            self.config = Some(Arc::new(next));
+            self.config = Arc::new(next);
             self.staged = None;
         } else if self.head.staged.as_ref().is_some_and(|s| s.revision == record.revision) {
             self.staged = Some(StagedConfig { config: Arc::new(next), acknowledged: false });
@@ -162,7 +162,7 @@
         };
         let revision = staged.config.revision;
         if revision == self.head.committed {
-            self.config = Some(staged.config.clone());
+            self.config = staged.config.clone();
             self.staged = None;
         } else if self.head.staged.as_ref().is_none_or(|s| s.revision != revision) {
             self.staged = None;
--- a/crates/config/src/row.rs
+++ b/crates/config/src/row.rs
@@ -57,6 +57,8 @@
 pub struct Acknowledgement {
     /// The process.
     pub member: Member,
+    /// Differs between two processes on the same host.
+    pub incarnation: u64,
     /// The highest staged revision that it holds.
     pub revision: u64,
 }
--- /dev/null
+++ b/crates/config/tests/regression/main.rs
@@ -0,0 +1,3 @@
+//! Faults that were found and fixed, a file each.
+
+mod replaced_host;
--- /dev/null
+++ b/crates/config/tests/regression/replaced_host.rs
@@ -0,0 +1,24 @@
+//! A process that started when changes had been committed never got a configuration.
+
+use std::time::Duration;
+
+use guavaspread_config::{ChangeRecord, Follow, Head, Replica};
+use guavaspread_model::{Change, Name};
+
+#[test]
+fn replaced_host_catches_up_and_serves_nothing_before() {
+    let mut replica = Replica::new(Duration::from_secs(1));
+    let now = Duration::from_secs(5);
+    let head = Head { committed: 2, highest: 2, staged: None };
+    assert_eq!(replica.on_head(head, now), Follow::Fetch { from: 1, to: 2 });
+    assert!(replica.view(now).config.is_none());
+    let records: Vec<ChangeRecord> = (1..=2).map(record).collect();
+    assert_eq!(replica.on_records(&records), Follow::Nothing);
+    assert_eq!(replica.view(now).config.unwrap().revision, 2);
+}
+
+fn record(revision: u64) -> ChangeRecord {
+    let organisation = Name::new(&format!("organisation-{revision}")).unwrap();
+    let changes = vec![Change::CreateOrganisation { organisation }];
+    ChangeRecord { revision, base: revision - 1, changes }
+}
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -43,6 +43,7 @@
     platform: Rc<dyn Platform>,
     clock: Clock,
     member: Member,
+    incarnation: u64,
     replica: Replica,
     member_revision: Option<u64>,
     acknowledged: u64,
@@ -53,11 +54,12 @@
 
 impl Follower {
     /// Makes a follower that knows nothing yet.
-    pub fn new(platform: Rc<dyn Platform>, clock: Clock, member: Member) -> Self {
+    pub fn new(platform: Rc<dyn Platform>, clock: Clock, member: Member, incarnation: u64) -> Self {
         Follower {
             platform,
             clock,
             member,
+            incarnation,
             replica: Replica::new(DOUBT_GRACE),
             member_revision: None,
             acknowledged: 0,
@@ -152,7 +154,8 @@
 
     async fn write_member(&mut self, acknowledged: u64) -> Result<()> {
         self.acknowledged = self.acknowledged.max(acknowledged);
-        let row = Acknowledgement { member: self.member.clone(), revision: self.acknowledged };
+        let (member, incarnation) = (self.member.clone(), self.incarnation);
+        let row = Acknowledgement { member, incarnation, revision: self.acknowledged };
         let value = serde_json::to_string(&row).unwrap_or_default();
         let write = guavaspread_platform::Write { key: self.member_key(), value: Some(value) };
         let tx = Transaction { conditions: Vec::new(), writes: vec![write] };
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -83,11 +83,12 @@
                     return;
                 }
             };
-            let holder = Holder { host: process.host.clone(), incarnation: rand::random() };
+            let incarnation = rand::random();
+            let holder = Holder { host: process.host.clone(), incarnation };
             let member = Member { host: process.host, process: dispatcher_name() };
             let control = Control {
                 clock,
-                follower: Follower::new(platform.clone(), clock, member),
+                follower: Follower::new(platform.clone(), clock, member, incarnation),
                 leases: Leases::new(platform, clock, holder),
                 state: tx,
                 grants: Vec::new(),
--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -8,6 +8,7 @@
 use crate::operator;
 use crate::prelude::*;
 use crate::respond::refuse;
+use crate::service;
 use crate::worker::Worker;
 
 type Shared = State<Rc<Worker>>;
@@ -31,6 +32,7 @@
     cfg.route("/v1/chat/completions", web::post().to(chat))
         .route("/v1/completions", web::post().to(completions))
         .route("/v1/models", web::get().to(models))
+        .route("/services/{service}/{path}*", web::route().to(services))
         .route("/operator/changes", web::post().to(operator::changes))
         .route("/operator/status", web::get().to(operator::status))
         .route("/metrics", web::get().to(metrics))
@@ -52,6 +54,10 @@
     completion::answer(worker.get_ref().clone(), req, payload, "/v1/completions").await
 }
 
+async fn services(worker: Shared, req: HttpRequest, payload: Payload) -> HttpResponse {
+    service::answer(worker.get_ref().clone(), req, payload).await
+}
+
 async fn models(worker: Shared, req: HttpRequest) -> HttpResponse {
     match list_models(&worker, &req) {
         Ok(list) => HttpResponse::Ok().json(&list),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,9 +1,13 @@
 //! Attempts at one request, until an answer starts or the request is refused.
 
+use std::pin::Pin;
+
+use futures::{Stream, stream};
 use guavaspread_placement::EngineKey;
 use guavaspread_wire::Ask;
 use guavaspread_wire::{FrameReceiver, RunEvent, RunOrder};
 
+use crate::links::OpenError;
 use crate::prelude::*;
 use crate::worker::{Chosen, Worker};
 
@@ -11,15 +15,18 @@
 /// How long a dispatcher may stay silent beyond the request's own deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Streams the events of an answer; dropping it cancels the run.
+pub(crate) type Events = Pin<Box<dyn Stream<Item = Result<RunEvent, Refusal>>>>;
+
 /// Holds an answer that has started.
 pub(crate) struct Answer {
     pub(crate) status: u16,
     pub(crate) content_type: Option<String>,
-    pub(crate) rest: Rest,
+    pub(crate) events: Events,
 }
 
-/// Reads the rest of an answer; dropping it cancels the run.
-pub(crate) struct Rest {
+/// Receives the events of one run.
+struct Receiver {
     worker: Rc<Worker>,
     engine: EngineKey,
     rx: FrameReceiver,
@@ -28,7 +35,7 @@
 
 /// Tells what became of one attempt.
 enum Attempt {
-    Started(Box<Answer>),
+    Started(Answer),
     /// It did not run; another engine may take it.
     Elsewhere(Refusal),
     /// It may have run.
@@ -61,7 +68,7 @@
         order.engine = chosen.host.clone();
         order.deadline_ms = remaining.as_millis() as u32;
         let refusal = match attempt_once(worker, &chosen, &order, deadline).await {
-            Attempt::Started(answer) => return Ok(*answer),
+            Attempt::Started(answer) => return Ok(answer),
             Attempt::Final(refusal) => return Err(refusal),
             Attempt::Elsewhere(refusal) => refusal,
             Attempt::Unknown(refusal) if order.repeatable => refusal,
@@ -84,14 +91,14 @@
         Ok(rx) => rx,
         Err(e) => {
             worker.on_attempt_ended(chosen.key);
-            return Attempt::Elsewhere(Refusal::not_run(Code::NoBackend, e).retry_after_ms(1_000));
+            return not_opened(&e);
         }
     };
     let until = deadline + DEADLINE_MARGIN;
-    let mut rest = Rest { worker: worker.clone(), engine: chosen.key, rx, until };
-    match rest.next().await {
+    let mut rx = Receiver { worker: worker.clone(), engine: chosen.key, rx, until };
+    match rx.next().await {
         Ok(RunEvent::Head { status, content_type }) => {
-            Attempt::Started(Box::new(Answer { status, content_type, rest }))
+            Attempt::Started(Answer { status, content_type, events: rx.into_events() })
         }
         Ok(RunEvent::Refused(refusal)) => sort_refusal(refusal),
         Ok(RunEvent::Data(_) | RunEvent::Done) => {
@@ -105,6 +112,18 @@
     }
 }
 
+fn not_opened(error: &OpenError) -> Attempt {
+    match error {
+        OpenError::NotSent(detail) => {
+            let refusal = Refusal::not_run(Code::NoBackend, detail.clone());
+            Attempt::Elsewhere(refusal.retry_after_ms(1_000))
+        }
+        OpenError::Unknown(detail) => {
+            Attempt::Unknown(Refusal::maybe_ran(Code::BackendFailed, detail.clone()))
+        }
+    }
+}
+
 fn sort_refusal(refusal: Refusal) -> Attempt {
     match (refusal.code, refusal.ran) {
         (Code::DeadlineUnreachable | Code::DeadlinePassed, _) => Attempt::Final(refusal),
@@ -113,9 +132,19 @@
     }
 }
 
-impl Rest {
+impl Receiver {
+    /// Streams events up to the first that ends the answer.
+    fn into_events(self) -> Events {
+        Box::pin(stream::unfold(Some(self), |state| async move {
+            let mut rx = state?;
+            let event = rx.next().await;
+            let more = matches!(event, Ok(RunEvent::Data(_) | RunEvent::Head { .. }));
+            Some((event, more.then_some(rx)))
+        }))
+    }
+
     /// Receives the next event, or why there is none.
-    pub(crate) async fn next(&mut self) -> Result<RunEvent, Refusal> {
+    async fn next(&mut self) -> Result<RunEvent, Refusal> {
         let now = self.worker.clock.now();
         let left = self.until.saturating_sub(now).max(Duration::from_millis(1));
         let lost = |detail: String| Refusal::maybe_ran(Code::Cut, detail);
@@ -131,7 +160,7 @@
     }
 }
 
-impl Drop for Rest {
+impl Drop for Receiver {
     fn drop(&mut self) {
         self.worker.on_attempt_ended(self.engine);
     }
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -2,19 +2,21 @@
 
 use guavaspread_model::{Adapter, DEFAULT_CLASS, KeyHash, RequestClass};
 use guavaspread_telemetry::{adopt, traceparent};
-use guavaspread_wire::{RunEvent, RunOrder, TraceContext};
-use ntex::http::{StatusCode, header};
+use guavaspread_wire::{RunOrder, TraceContext};
+use ntex::http::header;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use serde::Deserialize;
 use tracing::Instrument;
 
-use crate::attempt::{self, Answer, Rest};
+use crate::attempt;
 use crate::board::Board;
+use crate::deliver::{Delivery, replay};
+use crate::once::{OnceKey, Outcome, run_once};
 use crate::prelude::*;
-use crate::respond::{cut_event, refuse};
-use crate::worker::{Admission, Worker};
+use crate::respond::refuse;
+use crate::worker::Worker;
 
 const CLASS_HEADER: &str = "x-request-class";
 
@@ -64,16 +66,24 @@
     let body = read_body(worker, payload).await?;
     let checked = check(&board, req, &organisation, &body)?;
     let deadline = started + Duration::from_millis(checked.class.deadline_ms.into());
-    let worth = checked.class.worth;
-    let stream = checked.stream;
+    let (worth, stream) = (checked.class.worth, checked.stream);
+    let once = match checked.class.repeatable {
+        true => None,
+        false => Some(OnceKey::of(req, organisation, path, &body)?),
+    };
     let order = order(worker, req, path, body, checked);
-    let answer = attempt::start(worker, order, deadline).await?;
+    let this = worker.clone();
+    let start = async move { attempt::start(&this, order, deadline).await };
+    let outcome = match once {
+        Some(key) => run_once(worker, key, deadline, start).await?,
+        None => Outcome::Live(start.await?),
+    };
     let first_byte = worker.clock.now().saturating_sub(started);
     worker.metrics.first_byte_s.observe(first_byte.as_secs_f64());
-    let delivery = Delivery { worker: worker.clone(), worth, _admission: admission };
-    match stream && answer.status == StatusCode::OK.as_u16() {
-        true => Ok(stream_answer(answer, delivery)),
-        false => plain_answer(answer, delivery).await,
+    let delivery = Delivery::new(worker, worth, admission);
+    match outcome {
+        Outcome::Stored(answer) => Ok(replay(answer)),
+        Outcome::Live(answer) => delivery.deliver(answer, stream).await,
     }
 }
 
@@ -213,73 +223,3 @@
         trace: TraceContext { traceparent: traceparent(&tracing::Span::current()) },
     }
 }
-
-/// Counts an answer once it was delivered whole.
-struct Delivery {
-    worker: Rc<Worker>,
-    worth: u32,
-    _admission: Admission,
-}
-
-impl Delivery {
-    fn whole(&self) {
-        self.worker.metrics.whole.inc();
-        self.worker.metrics.worth.inc_by(self.worth.into());
-    }
-}
-
-async fn plain_answer(answer: Answer, delivery: Delivery) -> Result<HttpResponse, Refusal> {
-    let Answer { status, content_type, mut rest } = answer;
-    let mut body = BytesMut::new();
-    loop {
-        match rest.next().await? {
-            RunEvent::Data(data) => body.extend_from_slice(&data),
-            RunEvent::Done => break,
-            RunEvent::Refused(refusal) => return Err(refusal),
-            RunEvent::Head { .. } => {}
-        }
-    }
-    delivery.whole();
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut res = HttpResponse::build(status);
-    res.content_type(content_type.as_deref().unwrap_or("application/json"));
-    Ok(res.body(body.freeze()))
-}
-
-struct EventStream {
-    rest: Rest,
-    delivery: Delivery,
-}
-
-/// Relays events as they come. A stream that was cut ends with an `error` event and
-/// without the end marker.
-fn stream_answer(answer: Answer, delivery: Delivery) -> HttpResponse {
-    let state = EventStream { rest: answer.rest, delivery };
-    let events = futures::stream::unfold(Some(state), |state| async move {
-        let mut state = state?;
-        let (text, state) = match state.rest.next().await {
-            Ok(RunEvent::Data(data)) => {
-                let mut text = Vec::with_capacity(data.len() + 8);
-                text.extend_from_slice(b"data: ");
-                text.extend_from_slice(&data);
-                text.extend_from_slice(b"\n\n");
-                (text, Some(state))
-            }
-            Ok(RunEvent::Done) => {
-                state.delivery.whole();
-                (b"data: [DONE]\n\n".to_vec(), None)
-            }
-            Ok(RunEvent::Head { .. }) => (Vec::new(), Some(state)),
-            Ok(RunEvent::Refused(refusal)) | Err(refusal) => {
-                state.delivery.worker.metrics.cut.inc();
-                state.delivery.worker.metrics.refuse(refusal.code);
-                (cut_event(&refusal).into_bytes(), None)
-            }
-        };
-        Some((Ok::<_, std::io::Error>(Bytes::from(text)), state))
-    });
-    HttpResponse::Ok()
-        .header(header::CONTENT_TYPE, "text/event-stream")
-        .header(header::CACHE_CONTROL, "no-cache")
-        .streaming(Box::pin(events))
-}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -59,6 +59,7 @@
     cfg: &GatewaySettings,
     identity: Identity,
     clock: Clock,
+    incarnation: u64,
 ) -> std::io::Result<ControlHandle> {
     let (requests, rx) = mpsc::unbounded_channel();
     let (tx, board) = watch::channel(None);
@@ -76,7 +77,7 @@
             let control = Control {
                 clock,
                 host: process.host,
-                follower: Follower::new(platform.clone(), clock, member),
+                follower: Follower::new(platform.clone(), clock, member, incarnation),
                 platform,
                 links: Rc::new(links),
                 owners: BTreeMap::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,12 +18,15 @@
 mod board;
 mod completion;
 mod control;
+mod deliver;
 mod links;
 mod metrics;
+mod once;
 mod operator;
 mod prelude;
 mod respond;
 mod server;
+mod service;
 mod worker;
 
 pub use server::run;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,6 +1,7 @@
 //! QUIC connections to dispatchers.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, SERVER_NAME, client_endpoint};
@@ -12,12 +13,29 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Tells why a stream could not be opened.
+#[derive(Debug)]
+pub(crate) enum OpenError {
+    /// Nothing of the question left this process.
+    NotSent(String),
+    /// The question may have been acted on.
+    Unknown(String),
+}
+
 /// Holds the connections of one thread; made inside that thread's runtime.
 pub(crate) struct Links {
     endpoint: Endpoint,
     connections: RefCell<HashMap<SocketAddr, Connection>>,
 }
 
+impl fmt::Display for OpenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OpenError::NotSent(detail) | OpenError::Unknown(detail) => f.write_str(detail),
+        }
+    }
+}
+
 impl Links {
     pub(crate) fn new(identity: &Identity) -> guavaspread_wire::Result<Self> {
         let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
@@ -26,21 +44,19 @@
     }
 
     /// Opens a stream and sends `ask` on it.
-    ///
-    /// Fails only if no part of `ask` can have been acted on.
     pub(crate) async fn open(
         &self,
         address: SocketAddr,
         ask: &Ask,
-    ) -> Result<FrameReceiver, String> {
-        let connection = self.connection(address).await?;
+    ) -> Result<FrameReceiver, OpenError> {
+        let connection = self.connection(address).await.map_err(OpenError::NotSent)?;
         let opened = ntex::time::timeout(CONNECT_TIMEOUT, connection.open_bi()).await;
         let Ok(Ok((tx, rx))) = opened else {
             self.forget(address);
-            return Err(format!("no stream to {address}"));
+            return Err(OpenError::NotSent(format!("no stream to {address}")));
         };
         let mut tx = FrameSender::new(tx);
-        tx.send(ask).await.map_err(|e| e.to_string())?;
+        tx.send(ask).await.map_err(|e| OpenError::Unknown(e.to_string()))?;
         tx.finish();
         Ok(FrameReceiver::new(rx))
     }
@@ -52,7 +68,7 @@
         ask: &Ask,
     ) -> Result<T, String> {
         let answer = async {
-            let mut rx = self.open(address, ask).await?;
+            let mut rx = self.open(address, ask).await.map_err(|e| e.to_string())?;
             let answer = rx.recv::<T>().await.map_err(|e| e.to_string())?;
             answer.ok_or_else(|| "no answer".to_owned())
         };
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use tokio::sync::oneshot;
 
+use crate::board::Board;
 use crate::completion::bearer;
 use crate::control::Request;
 use crate::prelude::*;
@@ -22,6 +23,24 @@
     revision: u64,
 }
 
+/// Shows the state of the deployment, as seen from one gateway.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct DeploymentStatus {
+    gateway: GatewayStatus,
+    dispatchers: Vec<StatusReply>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct GatewayStatus {
+    entry_host: Name,
+    zone: Name,
+    revision: u64,
+    table_up: bool,
+    in_doubt: bool,
+}
+
 /// Takes changes as JSON and answers once they are in force or rejected.
 pub(crate) async fn changes(
     worker: State<Rc<Worker>>,
@@ -40,9 +59,24 @@
 
 /// Answers what every dispatcher holds.
 pub(crate) async fn status(worker: State<Rc<Worker>>, req: HttpRequest) -> HttpResponse {
-    match authorize(&worker, &req) {
-        Ok(()) => HttpResponse::Ok().json(&ask_status(&worker).await),
-        Err(refusal) => refuse(&refusal),
+    if let Err(refusal) = authorize(&worker, &req) {
+        return refuse(&refusal);
+    }
+    let gateway = match worker.board() {
+        Ok(board) => gateway_status(&worker, &board),
+        Err(refusal) => return refuse(&refusal),
+    };
+    let dispatchers = ask_status(&worker).await;
+    HttpResponse::Ok().json(&DeploymentStatus { gateway, dispatchers })
+}
+
+fn gateway_status(worker: &Worker, board: &Board) -> GatewayStatus {
+    GatewayStatus {
+        entry_host: worker.cfg.process.host.clone(),
+        zone: worker.cfg.process.zone.clone(),
+        revision: board.snapshot.revision(),
+        table_up: board.snapshot.table_up,
+        in_doubt: board.snapshot.view.doubt.is_some(),
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,7 +11,7 @@
 use crate::control::{self, Request};
 use crate::metrics::Metrics;
 use crate::prelude::*;
-use crate::worker::Worker;
+use crate::worker::{Worker, WorkerParts};
 
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -23,7 +23,8 @@
 pub async fn run(cfg: GatewaySettings, mut stop: Stop) -> Result<()> {
     let identity = cfg.tls.identity()?;
     let clock = Clock::start();
-    let control = control::spawn(&cfg, identity.clone(), clock)?;
+    let incarnation = rand::random();
+    let control = control::spawn(&cfg, identity.clone(), clock, incarnation)?;
     let metrics = Metrics::new();
     let drain = Seconds((cfg.limits.drain_ms / 1_000).min(u16::MAX.into()) as u16);
     let (shared, handle) = (cfg.clone(), control.clone());
@@ -31,7 +32,10 @@
         let (cfg, identity) = (shared.clone(), identity.clone());
         let (control, metrics) = (handle.clone(), metrics.clone());
         App::new()
-            .state_factory(async move || Worker::new(cfg, &identity, clock, control, metrics))
+            .state_factory(async move || {
+                let parts = WorkerParts { cfg, clock, incarnation, control, metrics };
+                Worker::new(parts, &identity).await
+            })
             .configure(api::configure)
             .default_service(web::route().to(api::unknown_path))
     });
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use guavaspread_placement::{DemandMap, EngineKey, RetryBudget, Route, Router};
+use guavaspread_platform::{GroupCommit, HttpPlatform, Platform};
 use guavaspread_settings::GatewaySettings;
 use guavaspread_wire::Identity;
 use slotmap::SecondaryMap;
@@ -13,6 +14,7 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::prelude::*;
+use crate::service::Services;
 
 const DEMAND_ENTRIES_MAX: usize = 16_384;
 const RETRY_BURST: f64 = 20.0;
@@ -31,13 +33,27 @@
     pub(crate) dispatcher: SocketAddr,
 }
 
+/// What a worker needs from its surroundings.
+pub(crate) struct WorkerParts {
+    pub(crate) cfg: GatewaySettings,
+    pub(crate) clock: Clock,
+    /// Differs between two processes on the same host.
+    pub(crate) incarnation: u64,
+    pub(crate) control: ControlHandle,
+    pub(crate) metrics: Metrics,
+}
+
 /// Holds what one traffic thread needs.
 pub(crate) struct Worker {
     pub(crate) cfg: GatewaySettings,
     pub(crate) clock: Clock,
+    pub(crate) incarnation: u64,
     pub(crate) control: ControlHandle,
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
+    pub(crate) platform: Rc<dyn Platform>,
+    pub(crate) claims: Rc<GroupCommit>,
+    pub(crate) services: Services,
     router: RefCell<Router>,
     known: RefCell<SecondaryMap<EngineKey, Known>>,
     seen: RefCell<Option<Arc<Board>>>,
@@ -47,22 +63,22 @@
 }
 
 impl Worker {
-    pub(crate) fn new(
-        cfg: GatewaySettings,
-        identity: &Identity,
-        clock: Clock,
-        control: ControlHandle,
-        metrics: Metrics,
-    ) -> guavaspread_wire::Result<Rc<Self>> {
+    pub(crate) async fn new(parts: WorkerParts, identity: &Identity) -> eyre::Result<Rc<Self>> {
+        let WorkerParts { cfg, clock, incarnation, control, metrics } = parts;
         let policy = cfg.policy();
         let demand = DemandMap::new(policy.demand_half_life(), DEMAND_ENTRIES_MAX);
         let retries = RetryBudget::new(cfg.limits.retry_share, RETRY_BURST);
+        let platform: Rc<dyn Platform> = Rc::new(HttpPlatform::new(cfg.process.platform).await?);
         Ok(Rc::new(Worker {
             cfg,
             clock,
+            incarnation,
             control,
             metrics,
             links: Links::new(identity)?,
+            claims: GroupCommit::new(platform.clone()),
+            platform,
+            services: Services::default(),
             router: RefCell::new(Router::new(policy)),
             known: RefCell::default(),
             seen: RefCell::default(),
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -12,13 +12,16 @@
 use guavaspread_standins::{
     BookingStandIn, EngineSpec, EngineStandIn, PlatformSpec, PlatformStandIn,
 };
+use serde_json::Value;
 use tempfile::TempDir;
 
 use crate::caller::Caller;
-use crate::ports::free_address;
+use crate::ports::{any_address, free_address};
 
 const OPERATOR_KEY: &str = "operator-key-of-a-test";
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// In force everywhere within this time, for two years' size as for today's.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(11);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Describes one availability zone.
@@ -112,7 +115,7 @@
     pub fn prepare(spec: &FleetSpec) -> Result<Self> {
         let dir = tempfile::tempdir()?;
         let platform = PlatformStandIn::new(spec.platform, Vec::new());
-        let platform_address = platform.spawn(free_address()?)?;
+        let platform_address = platform.spawn(any_address())?;
         let authority = Authority::generate()?;
         std::fs::write(dir.path().join("authority.pem"), authority.pem().certificate)?;
         let mut fleet = Fleet {
@@ -128,7 +131,7 @@
         }
         if let Some(zone) = spec.zones.first() {
             for index in 0..spec.bookings {
-                let address = fleet.booking.spawn(free_address()?)?;
+                let address = fleet.booking.spawn(any_address())?;
                 let kind = HostKind::Service(Name::new("booking")?);
                 let name = format!("{}-booking-{index}", zone.name);
                 fleet.list(&name, Name::new(zone.name)?, kind, address)?;
@@ -235,6 +238,28 @@
         .wrap_err("not every engine is owned")
     }
 
+    /// Waits until every gateway and dispatcher has a revision in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than the users' few seconds.
+    pub fn wait_revision(&self, revision: u64) -> Result<()> {
+        let until = Instant::now() + IN_FORCE_TIMEOUT;
+        for host in self.entry_hosts.keys() {
+            let operator = self.operator(host)?;
+            let in_force = || -> Result<bool> {
+                let status: Value = operator.get("/operator/status").send()?.json()?;
+                let dispatchers = status["dispatchers"].as_array().cloned().unwrap_or_default();
+                let all = dispatchers.iter().chain([&status["gateway"]]);
+                let mut revisions = all.map(|process| process["revision"].as_u64().unwrap_or(0));
+                Ok(revisions.all(|applied| applied >= revision))
+            };
+            wait_until(until, || in_force().unwrap_or(false))
+                .wrap_err_with(|| format!("revision {revision} is not in force at {host}"))?;
+        }
+        Ok(())
+    }
+
     /// Returns a caller of one gateway who shows `key`.
     ///
     /// # Errors
@@ -283,7 +308,7 @@
         for index in 0..zone.engines {
             let engine = EngineSpec { weights: Some(platform), ..spec.engine };
             let engine = EngineStandIn::new(engine);
-            let address = engine.spawn(free_address()?)?;
+            let address = engine.spawn(any_address())?;
             let name = format!("{}-engine-{index}", zone.name);
             self.list(&name, zone_name.clone(), HostKind::Engine, address)?;
             self.engines.insert(Name::new(&name)?, engine);
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -7,10 +7,13 @@
 //! |---|---|
 //! | start a deployment | [`Fleet`], [`FleetSpec`] |
 //! | call it as a caller or an operator | [`Caller`] |
+//! | declare a sample of adapters and services | [`declare`] |
 
 mod caller;
 mod fleet;
 mod ports;
+mod sample;
 
-pub use caller::{Caller, Reply};
+pub use caller::{Caller, Reply, plain, read_stream};
 pub use fleet::{EntryHost, Fleet, FleetSpec, ZoneSpec};
+pub use sample::{DOPRAVNI_KEY, INTAKE, KITA_KEY, declare};
--- a/crates/scenario/src/ports.rs
+++ b/crates/scenario/src/ports.rs
@@ -2,16 +2,28 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU16, Ordering};
 
-const TRIES_MAX: usize = 64;
+/// Below the ports that the system gives to outgoing connections.
+const FIRST_PORT: u16 = 2_000;
+const PORTS: u16 = 13_500;
+const TRIES_MAX: u16 = 2_000;
 
-/// Finds an address whose port is free for both TCP and UDP.
+static NEXT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns the address by which the system chooses a free port.
+pub(crate) fn any_address() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Finds an address whose port is free for both TCP and UDP, and not given out before here.
 pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    // Test processes that run side by side start at different ports.
+    let offset = (std::process::id() % 97) as u16 * 139;
     for _ in 0..TRIES_MAX {
-        let tcp = TcpListener::bind(any)?;
-        let address = tcp.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+        let port = FIRST_PORT + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
