--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -25,12 +25,10 @@
 
 fn main() -> Result<ExitCode> {
     let args = Args::parse();
-    let checked = DispatcherSettings::read(&args.settings).and_then(|cfg| {
-        cfg.tls.identity()?;
-        Ok(cfg)
-    });
-    let cfg = match checked {
-        Ok(cfg) => cfg,
+    let checked = DispatcherSettings::read(&args.settings)
+        .and_then(|cfg| cfg.tls.identity().map(|identity| (cfg, identity)));
+    let (cfg, identity) = match checked {
+        Ok(checked) => checked,
         Err(e) => {
             eprintln!("{e}");
             return Ok(ExitCode::from(EXIT_BAD_SETTINGS));
@@ -44,7 +42,7 @@
     let system = ntex::rt::System::new("dispatcher", ntex::rt::DefaultRuntime);
     system.block_on(async move {
         let stop = stop_on_signals()?;
-        guavaspread_dispatcher::run(cfg, stop).await
+        guavaspread_dispatcher::run(cfg, identity, stop).await
     })?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/dispatcher/src/office.rs
+++ b/crates/dispatcher/src/office.rs
@@ -7,7 +7,7 @@
 use guavaspread_ownership::Role;
 use guavaspread_placement::QueueLimits;
 use guavaspread_settings::{DispatcherSettings, EngineLimits};
-use guavaspread_wire::{DigestEntry, StatusReply};
+use guavaspread_wire::{DigestEntry, RefusalCount, StatusReply};
 
 use crate::control::{ControlHandle, State};
 use crate::desk::{Desk, DeskParts};
@@ -32,7 +32,7 @@
     places: RefCell<BTreeMap<Name, Place>>,
     stopping: Cell<bool>,
     runs: Cell<usize>,
-    refused: RefCell<BTreeMap<u16, u64>>,
+    refused: RefCell<BTreeMap<u16, RefusalCount>>,
 }
 
 impl Office {
@@ -110,7 +110,7 @@
             zone: self.zone.clone(),
             revision: state.as_ref().map_or(0, |state| state.snapshot.revision()),
             backends: open.map(|place| place.desk.report(Some(self.host.clone()))).collect(),
-            refused: self.refused.borrow().iter().map(|(code, n)| (*code, *n)).collect(),
+            refused: self.refused.borrow().values().cloned().collect(),
         }
     }
 
@@ -127,7 +127,8 @@
 
     pub(crate) fn count_refusal(&self, code: Code) {
         self.metrics.refuse(code);
-        *self.refused.borrow_mut().entry(code.number()).or_default() += 1;
+        let mut refused = self.refused.borrow_mut();
+        refused.entry(code.number()).or_insert(RefusalCount { code, count: 0 }).count += 1;
     }
 
     /// Takes no new runs from now on.
--- a/crates/dispatcher/src/server.rs
+++ b/crates/dispatcher/src/server.rs
@@ -5,7 +5,7 @@
 use eyre::{Context, Result};
 use guavaspread_control::Stop;
 use guavaspread_settings::DispatcherSettings;
-use guavaspread_wire::{Ask, FrameReceiver, FrameSender, server_endpoint};
+use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, server_endpoint};
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::sync::oneshot;
@@ -25,9 +25,8 @@
 ///
 /// # Errors
 ///
-/// Fails when an address is taken or the identity is unusable.
-pub async fn run(cfg: DispatcherSettings, mut stop: Stop) -> Result<()> {
-    let identity = cfg.tls.identity()?;
+/// Fails when an address is taken or `identity` is unusable.
+pub async fn run(cfg: DispatcherSettings, identity: Identity, mut stop: Stop) -> Result<()> {
     let endpoint = server_endpoint(&identity, cfg.listen)
         .wrap_err_with(|| format!("listening on {}", cfg.listen))?;
     let clock = Clock::start();
--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -34,6 +34,7 @@
         .route("/v1/models", web::get().to(models))
         .route("/services/{service}/{path}*", web::route().to(services))
         .route("/operator/changes", web::post().to(operator::changes))
+        .route("/operator/query", web::post().to(operator::query))
         .route("/operator/status", web::get().to(operator::status))
         .route("/metrics", web::get().to(metrics))
         .route("/healthz", web::get().to(async || HttpResponse::Ok().finish()))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod respond;
 mod server;
 mod service;
+mod tables;
 mod worker;
 
 pub use server::run;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -25,12 +25,10 @@
 
 fn main() -> Result<ExitCode> {
     let args = Args::parse();
-    let checked = GatewaySettings::read(&args.settings).and_then(|cfg| {
-        cfg.tls.identity()?;
-        Ok(cfg)
-    });
-    let cfg = match checked {
-        Ok(cfg) => cfg,
+    let checked = GatewaySettings::read(&args.settings)
+        .and_then(|cfg| cfg.tls.identity().map(|identity| (cfg, identity)));
+    let (cfg, identity) = match checked {
+        Ok(checked) => checked,
         Err(e) => {
             eprintln!("{e}");
             return Ok(ExitCode::from(EXIT_BAD_SETTINGS));
@@ -44,7 +42,7 @@
     let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
     system.block_on(async move {
         let stop = stop_on_signals()?;
-        guavaspread_gateway::run(cfg, stop).await
+        guavaspread_gateway::run(cfg, identity, stop).await
     })?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -2,6 +2,7 @@
 
 use guavaspread_config::Outcome;
 use guavaspread_model::{Change, KeyHash};
+use guavaspread_query::{Statement, Table, parse};
 use guavaspread_wire::StatusReply;
 use ntex::web::types::{Json, State};
 use ntex::web::{HttpRequest, HttpResponse};
@@ -9,10 +10,11 @@
 use tokio::sync::oneshot;
 
 use crate::board::Board;
-use crate::completion::bearer;
+use crate::completion::{bearer, config};
 use crate::control::Request;
 use crate::prelude::*;
 use crate::respond::refuse;
+use crate::tables;
 use crate::worker::Worker;
 
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -23,6 +25,18 @@
     revision: u64,
 }
 
+/// Answers a statement.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum QueryReply {
+    /// Rows.
+    Table(Table),
+    /// The change is in force.
+    Accepted { revision: u64 },
+    /// The change would be accepted on top of this revision.
+    Valid { changes: usize, revision: u64 },
+}
+
 /// Shows the state of the deployment, as seen from one gateway.
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -57,6 +71,66 @@
     }
 }
 
+/// Answers a statement of the query language.
+pub(crate) async fn query(
+    worker: State<Rc<Worker>>,
+    req: HttpRequest,
+    statement: String,
+) -> HttpResponse {
+    let reply = match authorize(&worker, &req) {
+        Ok(()) => execute(&worker, &statement).await,
+        Err(refusal) => Err(refusal),
+    };
+    match reply {
+        Ok(reply) => HttpResponse::Ok().json(&reply),
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+async fn execute(worker: &Worker, text: &str) -> Result<QueryReply, Refusal> {
+    let bad = |e: guavaspread_query::Error| Refusal::not_run(Code::BadStatement, e.explain(text));
+    let board = worker.board()?;
+    match parse(text).map_err(bad)? {
+        Statement::Show(query) => {
+            let status = match tables::needs_status(query.source) {
+                true => ask_status(worker).await,
+                false => Vec::new(),
+            };
+            let table = tables::table(query.source, &board, &status);
+            query.select(table).map(QueryReply::Table).map_err(bad)
+        }
+        Statement::DryRun(changes) => {
+            check_hosts(&board, &changes)?;
+            let mut config = Config::clone(&*config(&board)?);
+            let revision = config.revision;
+            config
+                .apply_all(&changes, revision + 1)
+                .map_err(|e| Refusal::not_run(e.code(), e.to_string()))?;
+            Ok(QueryReply::Valid { changes: changes.len(), revision })
+        }
+        Statement::Change(changes) => {
+            check_hosts(&board, &changes)?;
+            match propose(worker, changes).await {
+                Outcome::Accepted(revision) => Ok(QueryReply::Accepted { revision }),
+                Outcome::Rejected(refusal) | Outcome::InDoubt(refusal) => Err(refusal),
+            }
+        }
+    }
+}
+
+/// Refuses to drain a host that is not there, which is a slip of the pen.
+fn check_hosts(board: &Board, changes: &[Change]) -> Result<(), Refusal> {
+    for change in changes {
+        if let Change::Drain { host } = change
+            && board.snapshot.host(host).is_none()
+        {
+            let detail = format!("the platform lists no host `{host}`");
+            return Err(Refusal::not_run(Code::UnknownHost, detail));
+        }
+    }
+    Ok(())
+}
+
 /// Answers what every dispatcher holds.
 pub(crate) async fn status(worker: State<Rc<Worker>>, req: HttpRequest) -> HttpResponse {
     if let Err(refusal) = authorize(&worker, &req) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,7 +3,9 @@
 use eyre::{Context, Result};
 use guavaspread_control::Stop;
 use guavaspread_settings::GatewaySettings;
+use guavaspread_wire::Identity;
 use ntex::time::Seconds;
+use ntex::web::types::{JsonConfig, PayloadConfig};
 use ntex::web::{self, App, HttpServer};
 use tokio::sync::oneshot;
 
@@ -13,15 +15,16 @@
 use crate::prelude::*;
 use crate::worker::{Worker, WorkerParts};
 
+/// The largest statement or list of changes from an operator.
+const OPERATOR_BYTES_MAX: usize = 16 * 1024 * 1024;
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Runs a gateway until it is asked to stop; call it inside an ntex system.
 ///
 /// # Errors
 ///
-/// Fails when an address is taken or the identity is unusable.
-pub async fn run(cfg: GatewaySettings, mut stop: Stop) -> Result<()> {
-    let identity = cfg.tls.identity()?;
+/// Fails when an address is taken or `identity` is unusable.
+pub async fn run(cfg: GatewaySettings, identity: Identity, mut stop: Stop) -> Result<()> {
     let clock = Clock::start();
     let incarnation = rand::random();
     let control = control::spawn(&cfg, identity.clone(), clock, incarnation)?;
@@ -36,6 +39,8 @@
                 let parts = WorkerParts { cfg, clock, incarnation, control, metrics };
                 Worker::new(parts, &identity).await
             })
+            .state(JsonConfig::default().limit(OPERATOR_BYTES_MAX))
+            .state(PayloadConfig::new(OPERATOR_BYTES_MAX))
             .configure(api::configure)
             .default_service(web::route().to(api::unknown_path))
     });
--- /dev/null
+++ b/crates/gateway/src/tables.rs
@@ -0,0 +1,250 @@
+//! The tables that operators query.
+
+use guavaspread_model::Priority;
+use guavaspread_query::{Cell, Source, Table};
+use guavaspread_wire::{BackendReport, StatusReply};
+
+use crate::board::Board;
+use crate::prelude::*;
+
+/// Builds the table of a source.
+pub(crate) fn table(source: Source, board: &Board, status: &[StatusReply]) -> Table {
+    let config = board.snapshot.view.config.clone().unwrap_or_default();
+    match source {
+        Source::Organisations => organisations(&config),
+        Source::Adapters => adapters(&config),
+        Source::Classes => classes(&config),
+        Source::Services => services(&config),
+        Source::Hosts => hosts(board, &config),
+        Source::Zones => zones(board),
+        Source::Backends => backends(status),
+        Source::Owners => owners(board),
+        Source::Loaded => loaded(status),
+        Source::Waiting => waiting(status),
+        Source::Refused => refused(status),
+        Source::Revisions => revisions(board, status),
+    }
+}
+
+/// Tells whether a source needs the dispatchers' word.
+pub(crate) fn needs_status(source: Source) -> bool {
+    match source {
+        Source::Backends
+        | Source::Loaded
+        | Source::Waiting
+        | Source::Refused
+        | Source::Revisions => true,
+        Source::Organisations
+        | Source::Adapters
+        | Source::Classes
+        | Source::Services
+        | Source::Hosts
+        | Source::Zones
+        | Source::Owners => false,
+    }
+}
+
+fn text(value: impl ToString) -> Cell {
+    Cell::Text(value.to_string())
+}
+
+fn yes_no(value: bool) -> Cell {
+    Cell::from(if value { "yes" } else { "no" })
+}
+
+fn organisations(config: &Config) -> Table {
+    let mut table = Table::new(&["organisation", "keys", "adapters"]);
+    for (name, org) in &config.organisations {
+        let (keys, adapters) = (org.keys.len() as u32, org.adapters.len() as u32);
+        table.push(vec![text(name), keys.into(), adapters.into()]);
+    }
+    table
+}
+
+fn adapters(config: &Config) -> Table {
+    let mut table = Table::new(&["adapter", "organisation", "base", "class", "version", "pinned"]);
+    for (organisation, org) in &config.organisations {
+        for (name, adapter) in &org.adapters {
+            for version in &adapter.versions {
+                let full = AdapterVersion::new(organisation.clone(), name.clone(), *version);
+                table.push(vec![
+                    text(full),
+                    text(organisation),
+                    text(&adapter.base),
+                    adapter.class.as_ref().map_or(Cell::from("-"), text),
+                    (*version).into(),
+                    yes_no(adapter.pinned == Some(*version)),
+                ]);
+            }
+        }
+    }
+    table
+}
+
+fn classes(config: &Config) -> Table {
+    let columns = ["class", "repeatable", "worth", "deadline-ms", "priority"];
+    let mut table = Table::new(&columns);
+    for (name, class) in &config.classes {
+        let priority = match class.priority {
+            Priority::Interactive => "interactive",
+            Priority::Draft => "draft",
+            Priority::Overnight => "overnight",
+        };
+        table.push(vec![
+            text(name),
+            yes_no(class.repeatable),
+            class.worth.into(),
+            class.deadline_ms.into(),
+            priority.into(),
+        ]);
+    }
+    table
+}
+
+fn services(config: &Config) -> Table {
+    let mut table = Table::new(&["service", "path", "class"]);
+    for (name, service) in &config.services {
+        for route in &service.routes {
+            table.push(vec![text(name), text(&route.path), text(&route.class)]);
+        }
+    }
+    table
+}
+
+fn kind(host: &Host) -> Cell {
+    match &host.kind {
+        HostKind::EntryHost => Cell::from("entry-host"),
+        HostKind::Engine => Cell::from("engine"),
+        HostKind::Service(name) => text(name),
+    }
+}
+
+fn hosts(board: &Board, config: &Config) -> Table {
+    let mut table = Table::new(&["host", "zone", "kind", "address", "state"]);
+    for host in board.snapshot.hosts.iter() {
+        let state = match host.state {
+            _ if config.drained.contains(&host.name) => "drained",
+            HostState::Live => "live",
+            HostState::Leaving => "leaving",
+        };
+        table.push(vec![
+            text(&host.name),
+            text(&host.zone),
+            kind(host),
+            text(host.address),
+            state.into(),
+        ]);
+    }
+    table
+}
+
+fn zones(board: &Board) -> Table {
+    let mut table = Table::new(&["zone", "entry-hosts", "engines", "service-servers"]);
+    let hosts = &board.snapshot.hosts;
+    let names: std::collections::BTreeSet<&Name> = hosts.iter().map(|host| &host.zone).collect();
+    for zone in names {
+        let count = |wanted: fn(&HostKind) -> bool| {
+            hosts.iter().filter(|h| h.zone == *zone && wanted(&h.kind)).count() as u32
+        };
+        table.push(vec![
+            text(zone),
+            count(|kind| *kind == HostKind::EntryHost).into(),
+            count(|kind| *kind == HostKind::Engine).into(),
+            count(|kind| matches!(kind, HostKind::Service(_))).into(),
+        ]);
+    }
+    table
+}
+
+fn reports(status: &[StatusReply]) -> impl Iterator<Item = &BackendReport> {
+    status.iter().flat_map(|reply| &reply.backends)
+}
+
+fn owner(report: &BackendReport) -> Cell {
+    report.owner.as_ref().map_or(Cell::from("-"), text)
+}
+
+fn backends(status: &[StatusReply]) -> Table {
+    let mut table = Table::new(&["backend", "owner", "fence", "running", "waiting", "loaded"]);
+    for report in reports(status) {
+        table.push(vec![
+            text(&report.host),
+            owner(report),
+            Cell::Number(report.fence as f64),
+            report.running.into(),
+            report.waiting.into(),
+            (report.loaded.len() as u32).into(),
+        ]);
+    }
+    table
+}
+
+fn owners(board: &Board) -> Table {
+    let mut table = Table::new(&["backend", "zone", "dispatcher", "open", "load"]);
+    for engine in &board.engines {
+        table.push(vec![
+            text(&engine.host),
+            text(&engine.zone),
+            engine.dispatcher.map_or(Cell::from("-"), text),
+            yes_no(engine.open),
+            engine.digest.as_ref().map_or(0, |digest| u32::from(digest.load)).into(),
+        ]);
+    }
+    table
+}
+
+fn loaded(status: &[StatusReply]) -> Table {
+    let mut table = Table::new(&["backend", "adapter", "running", "demand"]);
+    for report in reports(status) {
+        for adapter in &report.loaded {
+            table.push(vec![
+                text(&report.host),
+                text(&adapter.adapter),
+                adapter.running.into(),
+                Cell::Number(adapter.demand.into()),
+            ]);
+        }
+    }
+    table
+}
+
+fn waiting(status: &[StatusReply]) -> Table {
+    let mut table = Table::new(&["backend", "owner", "waiting"]);
+    for report in reports(status).filter(|report| report.waiting > 0) {
+        table.push(vec![text(&report.host), owner(report), report.waiting.into()]);
+    }
+    table
+}
+
+fn refused(status: &[StatusReply]) -> Table {
+    let mut table = Table::new(&["entry-host", "code", "meaning", "count"]);
+    for reply in status {
+        for refused in &reply.refused {
+            table.push(vec![
+                text(&reply.entry_host),
+                u32::from(refused.code.number()).into(),
+                refused.code.title().into(),
+                Cell::Number(refused.count as f64),
+            ]);
+        }
+    }
+    table
+}
+
+fn revisions(board: &Board, status: &[StatusReply]) -> Table {
+    let mut table = Table::new(&["entry-host", "zone", "revision"]);
+    for reply in status {
+        table.push(vec![
+            text(&reply.entry_host),
+            text(&reply.zone),
+            Cell::Number(reply.revision as f64),
+        ]);
+    }
+    let missing = board.snapshot.hosts.iter().filter(|host| {
+        host.is_entry_host() && !status.iter().any(|reply| reply.entry_host == host.name)
+    });
+    for host in missing {
+        table.push(vec![text(&host.name), text(&host.zone), Cell::from("no answer")]);
+    }
+    table
+}
--- /dev/null
+++ b/crates/playground/src/hosts.rs
@@ -0,0 +1,175 @@
+//! Stand-ins and daemons on threads of this process.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::thread;
+
+use eyre::{Result, eyre};
+use guavaspread_control::Stop;
+use guavaspread_keys::Authority;
+use guavaspread_model::{Host, HostKind, HostState, KeyHash, Name};
+use guavaspread_settings::{DispatcherSettings, GatewaySettings};
+use guavaspread_standins::{BookingStandIn, EngineSpec, EngineStandIn, PlatformStandIn};
+use guavaspread_wire::Identity;
+
+use crate::deployment::{Deployment, Zone};
+use crate::loopback;
+
+const PORT_TRIES_MAX: u32 = 64;
+
+/// Knows a running playground.
+pub(crate) struct Playground {
+    pub(crate) gateway: SocketAddr,
+    pub(crate) entry_hosts: usize,
+    pub(crate) engines: usize,
+}
+
+struct Daemons {
+    gateway: GatewaySettings,
+    dispatcher: DispatcherSettings,
+    identity: Identity,
+}
+
+struct Builder {
+    deployment: Deployment,
+    platform: SocketAddr,
+    authority: Authority,
+    operator: KeyHash,
+    hosts: Vec<Host>,
+    daemons: Vec<Daemons>,
+}
+
+/// Starts the stand-ins and the daemons of every entry host.
+pub(crate) fn start(
+    deployment: Deployment,
+    port: u16,
+    operator_key: &str,
+    stop: &Stop,
+) -> Result<Playground> {
+    let platform = PlatformStandIn::new(deployment.platform(), Vec::new());
+    let mut builder = Builder {
+        deployment,
+        platform: platform.spawn(loopback(0))?,
+        authority: Authority::generate()?,
+        operator: KeyHash::of(operator_key),
+        hosts: Vec::new(),
+        daemons: Vec::new(),
+    };
+    let booking = BookingStandIn::default();
+    for zone in deployment.zones() {
+        builder.add_zone(zone, port, &booking)?;
+    }
+    platform.set_hosts(builder.hosts);
+    let gateway = builder.daemons.first().map(|daemons| daemons.gateway.listen);
+    let entry_hosts = builder.daemons.len();
+    for daemons in builder.daemons {
+        spawn(daemons, stop)?;
+    }
+    Ok(Playground {
+        gateway: gateway.ok_or_else(|| eyre!("the deployment has no entry host"))?,
+        entry_hosts,
+        engines: deployment.zones().iter().map(|zone| zone.engines).sum(),
+    })
+}
+
+impl Builder {
+    fn add_zone(&mut self, zone: &Zone, port: u16, booking: &BookingStandIn) -> Result<()> {
+        let service = HostKind::Service(Name::new(self.deployment.service())?);
+        for index in 0..zone.engines {
+            let spec = EngineSpec { weights: Some(self.platform), ..EngineSpec::default() };
+            let address = EngineStandIn::new(spec).spawn(loopback(0))?;
+            self.list(zone, "engine", index, HostKind::Engine, address)?;
+        }
+        for index in 0..zone.service_servers {
+            let address = booking.spawn(loopback(0))?;
+            self.list(zone, "server", index, service.clone(), address)?;
+        }
+        for index in 0..zone.entry_hosts {
+            self.add_entry_host(zone, index, port)?;
+        }
+        Ok(())
+    }
+
+    fn add_entry_host(&mut self, zone: &Zone, index: usize, port: u16) -> Result<()> {
+        let name = format!("{}-entry-{index}", zone.name);
+        let pem = self.authority.issue(&name)?;
+        let authority = self.authority.pem().certificate;
+        let identity = Identity::from_pem(
+            authority.as_bytes(),
+            pem.certificate.as_bytes(),
+            pem.key.as_bytes(),
+        )?;
+        let first = self.daemons.is_empty() && port != 0;
+        let listen = if first { loopback(port) } else { free_address()? };
+        let (quic, metrics) = (free_address()?, free_address()?);
+        let common = format!(
+            "preset = \"{}\"\n[process]\nhost = \"{name}\"\nzone = \"{}\"\nplatform = \"{}\"\n\
+             [tls]\nauthority = \"\"\ncertificate = \"\"\nkey = \"\"\n",
+            self.deployment.preset(),
+            zone.name,
+            self.platform
+        );
+        let origin = Path::new("the playground's own settings");
+        let operator = self.operator;
+        let text = format!("listen = \"{listen}\"\noperator-keys = [\"{operator}\"]\n{common}");
+        let gateway = GatewaySettings::parse(&text, origin)?;
+        let text = format!("listen = \"{quic}\"\nmetrics = \"{metrics}\"\n{common}");
+        let dispatcher = DispatcherSettings::parse(&text, origin)?;
+        self.list(zone, "entry", index, HostKind::EntryHost, quic)?;
+        self.daemons.push(Daemons { gateway, dispatcher, identity });
+        Ok(())
+    }
+
+    fn list(
+        &mut self,
+        zone: &Zone,
+        kind_name: &str,
+        index: usize,
+        kind: HostKind,
+        address: SocketAddr,
+    ) -> Result<()> {
+        let name = Name::new(&format!("{}-{kind_name}-{index}", zone.name))?;
+        let zone = Name::new(zone.name)?;
+        self.hosts.push(Host { name, zone, kind, address, state: HostState::Live });
+        Ok(())
+    }
+}
+
+fn spawn(daemons: Daemons, stop: &Stop) -> Result<()> {
+    let Daemons { gateway, dispatcher, identity } = daemons;
+    let (gateway_identity, gateway_stop) = (identity.clone(), stop.clone());
+    run_thread("gateway", move || async move {
+        guavaspread_gateway::run(gateway, gateway_identity, gateway_stop).await
+    })?;
+    let stop = stop.clone();
+    run_thread("dispatcher", move || async move {
+        guavaspread_dispatcher::run(dispatcher, identity, stop).await
+    })
+}
+
+fn run_thread<F, R>(name: &'static str, run: F) -> Result<()>
+where
+    F: FnOnce() -> R + Send + 'static,
+    R: Future<Output = Result<()>> + 'static,
+{
+    thread::Builder::new().name(name.to_owned()).spawn(move || {
+        let system = ntex::rt::System::new(name, ntex::rt::DefaultRuntime);
+        if let Err(e) = system.block_on(async move { run().await }) {
+            eprintln!("{name}: {e:?}");
+            std::process::exit(1);
+        }
+    })?;
+    Ok(())
+}
+
+/// Finds an address whose port is free for both TCP and UDP.
+fn free_address() -> Result<SocketAddr> {
+    for _ in 0..PORT_TRIES_MAX {
+        let tcp = TcpListener::bind(loopback(0))?;
+        let address = tcp.local_addr()?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(eyre!("no port is free for both TCP and UDP"))
+}
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -206,7 +206,16 @@
     ///
     /// Fails on a key that is unknown, a value of the wrong form, or values that clash.
     pub fn read(path: &Path) -> Result<Self> {
-        let cfg: Self = parse(path)?;
+        Self::parse(&read_file(path)?, path)
+    }
+
+    /// Parses and checks a text; `path` only names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a key that is unknown, a value of the wrong form, or values that clash.
+    pub fn parse(text: &str, path: &Path) -> Result<Self> {
+        let cfg: Self = parse(text, path)?;
         cfg.contradictions().map_err(|e| Error::new(ErrorCode::Contradiction, path, e))?;
         Ok(cfg)
     }
@@ -244,7 +253,16 @@
     ///
     /// Fails on a key that is unknown, a value of the wrong form, or values that clash.
     pub fn read(path: &Path) -> Result<Self> {
-        let cfg: Self = parse(path)?;
+        Self::parse(&read_file(path)?, path)
+    }
+
+    /// Parses and checks a text; `path` only names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a key that is unknown, a value of the wrong form, or values that clash.
+    pub fn parse(text: &str, path: &Path) -> Result<Self> {
+        let cfg: Self = parse(text, path)?;
         cfg.contradictions().map_err(|e| Error::new(ErrorCode::Contradiction, path, e))?;
         Ok(cfg)
     }
@@ -318,7 +336,6 @@
     std::fs::read_to_string(path).map_err(|e| Error::new(ErrorCode::Unreadable, path, e))
 }
 
-fn parse<T: DeserializeOwned>(path: &Path) -> Result<T> {
-    let text = read_file(path)?;
-    toml::from_str(&text).map_err(|e| Error::new(ErrorCode::Syntax, path, e))
+fn parse<T: DeserializeOwned>(text: &str, path: &Path) -> Result<T> {
+    toml::from_str(text).map_err(|e| Error::new(ErrorCode::Syntax, path, e))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,5 +22,6 @@
 pub use frame::{FrameReceiver, FrameSender};
 pub use link::{Identity, SERVER_NAME, client_endpoint, server_endpoint};
 pub use message::{
-    Ask, BackendReport, DigestEntry, LoadedAdapter, RunEvent, RunOrder, StatusReply, TraceContext,
+    Ask, BackendReport, DigestEntry, LoadedAdapter, RefusalCount, RunEvent, RunOrder, StatusReply,
+    TraceContext,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,7 +1,7 @@
 //! What the processes say to each other.
 
 use bytes::Bytes;
-use guavaspread_model::{AdapterVersion, Name, Priority, Refusal};
+use guavaspread_model::{AdapterVersion, Code, Name, Priority, Refusal};
 use serde::{Deserialize, Serialize};
 
 /// Carries a W3C trace context from hop to hop, as its `traceparent` text.
@@ -109,6 +109,16 @@
     pub loaded: Vec<LoadedAdapter>,
 }
 
+/// Counts the refusals with one code.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RefusalCount {
+    /// The code.
+    pub code: Code,
+    /// How many there were.
+    pub count: u64,
+}
+
 /// Answers [`Ask::Status`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -121,8 +131,8 @@
     pub revision: u64,
     /// What it knows first hand of its backend servers.
     pub backends: Vec<BackendReport>,
-    /// Refusals since the start, by code number.
-    pub refused: Vec<(u16, u64)>,
+    /// Refusals since the start.
+    pub refused: Vec<RefusalCount>,
 }
 
 /// Carries what the owner of a backend server says of it, from host to host.
