Keep an idle deployment off the table; learn the head row from peers

Cause: the dispatcher's traffic thread reported an engine as released for every state shown to it, and each report made the control thread step again: two threads kept each other busy (1,537 table reads in 10 s by 4 idle nodes; about 4 cores for 9 hosts in the playground, debug build).

Change: released once per revocation, and only what somebody waits for steps the control thread early. Beyond the fault, every process read the head row four times a second, which 1,000 nodes could not do against 2,000 reads a second: a zone's processes now share a fixed rate and learn the row from peers in between; acknowledgements go through one dispatcher per zone in group commits.

--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -46,6 +46,8 @@
     caught_up: bool,
     staged: Option<StagedConfig>,
     head: Head,
+    /// The table's revision of `head`.
+    head_revision: u64,
     contact_at: Duration,
     grace: Duration,
 }
@@ -60,18 +62,21 @@
             caught_up: false,
             staged: None,
             head: Head::default(),
+            head_revision: 0,
             contact_at: Duration::ZERO,
             grace,
         }
     }
 
-    /// Takes over a head row; an older one than known is left alone.
-    pub fn on_head(&mut self, head: Head, now: Duration) -> Follow {
-        self.contact_at = now;
-        if head.committed < self.head.committed || head.highest < self.head.highest {
+    /// Takes over the head row, as it was read from the table at `read_at` by this process or
+    /// by a peer. `revision` is the row's, 0 for none; an older one than known is left alone.
+    pub fn on_head(&mut self, head: Head, revision: u64, read_at: Duration) -> Follow {
+        self.contact_at = self.contact_at.max(read_at);
+        if revision < self.head_revision {
             return self.next();
         }
         self.head = head;
+        self.head_revision = revision;
         self.settle_staged();
         self.next()
     }
@@ -115,13 +120,19 @@
         View { config, doubt: staged.map(|staged| staged.config.clone()) }
     }
 
+    /// Returns the head row with its revision, and when it was last read from the table.
+    pub fn head(&self) -> (&Head, u64, Duration) {
+        (&self.head, self.head_revision, self.contact_at)
+    }
+
     /// Returns the revision in force here.
     pub fn revision(&self) -> u64 {
         self.config.revision
     }
 
     fn next(&mut self) -> Follow {
-        self.caught_up |= self.revision() == self.head.committed;
+        self.caught_up |=
+            self.contact_at > Duration::ZERO && self.revision() == self.head.committed;
         if self.revision() < self.head.committed {
             return Follow::Fetch { from: self.revision() + 1, to: self.head.committed };
         }
--- a/crates/config/tests/regression/replaced_host.rs
+++ b/crates/config/tests/regression/replaced_host.rs
@@ -10,7 +10,7 @@
     let mut replica = Replica::new(Duration::from_secs(1));
     let now = Duration::from_secs(5);
     let head = Head { committed: 2, highest: 2, staged: None };
-    assert_eq!(replica.on_head(head, now), Follow::Fetch { from: 1, to: 2 });
+    assert_eq!(replica.on_head(head, 7, now), Follow::Fetch { from: 1, to: 2 });
     assert!(replica.view(now).config.is_none());
     let records: Vec<ChangeRecord> = (1..=2).map(record).collect();
     assert_eq!(replica.on_records(&records), Follow::Nothing);
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -1,20 +1,49 @@
 //! Following the configuration and the host list.
+//!
+//! A process reads the head row from the table less often the more processes its
+//! zone has, and learns it from its peers in between, so that neither the reads
+//! of the table nor the work of a process grow with the fleet. Acknowledgements
+//! go through one dispatcher of the zone, which writes many in one commit.
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use guavaspread_config::{Acknowledgement, ChangeRecord, Follow, Head, Member, Replica, View};
-use guavaspread_model::{Host, Name};
-use guavaspread_platform::{Platform, Result, Row, Transaction};
+use guavaspread_model::{Host, HostState, Name, rendezvous_score};
+use guavaspread_platform::{Platform, Result, Row, Transaction, Write};
+use guavaspread_wire::{Ask, DigestEntry, ExchangeReply, SeenHead};
+use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 
+use crate::links::Links;
 use crate::{Clock, HEAD_KEY, MEMBER_PREFIX, record_key};
 
-const HOSTS_INTERVAL: Duration = Duration::from_millis(1_000);
-const DOUBT_GRACE: Duration = Duration::from_millis(1_500);
+const HOSTS_INTERVAL: Duration = Duration::from_millis(3_000);
+const DOUBT_GRACE: Duration = Duration::from_millis(2_500);
+/// How often the processes of one zone together read the head row.
+const ZONE_POLL_INTERVAL: Duration = Duration::from_millis(500);
+const PROCESSES_PER_HOST: u32 = 2;
+/// Below this many entry hosts a zone's acknowledgements are written one by one.
+const AGGREGATE_FROM_HOSTS: usize = 3;
 const STEPS_MAX: usize = 8;
 
+/// What a follower needs from its surroundings.
+pub struct FollowerParts {
+    /// The platform.
+    pub platform: Rc<dyn Platform>,
+    /// Connections to the dispatchers.
+    pub links: Rc<Links>,
+    /// The clock.
+    pub clock: Clock,
+    /// This process.
+    pub member: Member,
+    /// Differs between two processes on the same host.
+    pub incarnation: u64,
+}
+
 /// Shows what a daemon knows of its surroundings.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -24,6 +53,8 @@
     pub hosts: Arc<Vec<Host>>,
     /// Whether the table answered last.
     pub table_up: bool,
+    /// The head row, as of the time that the snapshot was taken.
+    pub head: Option<SeenHead>,
 }
 
 impl Snapshot {
@@ -40,73 +71,87 @@
 
 /// Follows the platform for one process.
 pub struct Follower {
-    platform: Rc<dyn Platform>,
-    clock: Clock,
-    member: Member,
-    incarnation: u64,
+    parts: FollowerParts,
     replica: Replica,
-    member_revision: Option<u64>,
+    listed: bool,
     acknowledged: u64,
     hosts: Arc<Vec<Host>>,
     hosts_at: Option<Duration>,
+    polled_at: Option<Duration>,
     table_up: bool,
+    digests: RefCell<Vec<DigestEntry>>,
+    silent: Vec<Name>,
 }
 
 impl Follower {
     /// Makes a follower that knows nothing yet.
-    pub fn new(platform: Rc<dyn Platform>, clock: Clock, member: Member, incarnation: u64) -> Self {
+    pub fn new(parts: FollowerParts) -> Self {
         Follower {
-            platform,
-            clock,
-            member,
-            incarnation,
+            parts,
             replica: Replica::new(DOUBT_GRACE),
-            member_revision: None,
+            listed: false,
             acknowledged: 0,
             hosts: Arc::new(Vec::new()),
             hosts_at: None,
+            polled_at: None,
             table_up: false,
+            digests: RefCell::default(),
+            silent: Vec::new(),
         }
     }
 
-    /// Reads what is new and acknowledges what is staged.
-    pub async fn step(&mut self) {
+    /// Reads what is new, asks `peers` dispatchers, and acknowledges what is staged.
+    pub async fn step(&mut self, peers: usize) {
         self.read_hosts().await;
-        match self.follow().await {
-            Ok(()) => self.table_up = true,
-            Err(e) => {
-                if self.table_up {
-                    log::warn!("the configuration can't be followed: {e}");
-                }
-                self.table_up = false;
+        let learned = self.ask_peers(peers).await;
+        if let Err(e) = self.follow(learned).await {
+            if self.table_up {
+                log::warn!("the configuration can't be followed: {e}");
             }
+            self.table_up = false;
         }
     }
 
     /// Shows what is known.
     pub fn snapshot(&self) -> Snapshot {
+        let now = self.parts.clock.now();
+        let (head, revision, read_at) = self.replica.head();
+        let age_ms = now.saturating_sub(read_at).as_millis().min(u32::MAX.into()) as u32;
+        let head =
+            (read_at > Duration::ZERO).then(|| SeenHead { head: head.clone(), revision, age_ms });
         Snapshot {
-            view: self.replica.view(self.clock.now()),
+            view: self.replica.view(now),
             hosts: self.hosts.clone(),
             table_up: self.table_up,
+            head,
         }
     }
 
+    /// Takes what peers said of their backend servers since the last call.
+    pub fn take_digests(&self) -> Vec<DigestEntry> {
+        self.digests.take()
+    }
+
+    /// Takes the peers that did not answer since the last call.
+    pub fn take_silent(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.silent)
+    }
+
     /// Takes this process off the list of members, for a planned stop.
     pub async fn leave(&mut self) {
-        let key = self.member_key();
-        let tx = Transaction { conditions: Vec::new(), writes: vec![delete(&key)] };
-        if let Err(e) = self.platform.commit(&tx).await {
+        let write = Write { key: self.member_key(), value: None };
+        let tx = Transaction { conditions: Vec::new(), writes: vec![write] };
+        if let Err(e) = self.parts.platform.commit(&tx).await {
             log::warn!("the member row was not deleted: {e}");
         }
     }
 
     async fn read_hosts(&mut self) {
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         if self.hosts_at.is_some_and(|at| now < at + HOSTS_INTERVAL) {
             return;
         }
-        match self.platform.hosts().await {
+        match self.parts.platform.hosts().await {
             Ok(hosts) => {
                 if *self.hosts != hosts {
                     self.hosts = Arc::new(hosts);
@@ -117,14 +162,80 @@
         }
     }
 
-    /// A member's row stands before the head is first read; see `Acknowledgement`.
-    async fn follow(&mut self) -> Result<()> {
-        if self.member_revision.is_none() {
-            self.write_member(0).await?;
+    /// Asks some dispatchers what they know; returns the newest head among their answers.
+    async fn ask_peers(&mut self, peers: usize) -> Option<(SeenHead, Duration)> {
+        let hosts = self.hosts.clone();
+        let dispatchers: Vec<&Host> = hosts
+            .iter()
+            .filter(|host| host.is_entry_host() && !self.is_own_dispatcher(host))
+            .collect();
+        let chosen: Vec<&Host> = dispatchers.sample(&mut rand::rng(), peers).copied().collect();
+        let asks = chosen
+            .iter()
+            .map(|host| self.parts.links.ask::<ExchangeReply>(host.address, &Ask::Exchange));
+        let answers = futures::future::join_all(asks).await;
+        let now = self.parts.clock.now();
+        let mut newest: Option<(SeenHead, Duration)> = None;
+        for (host, answer) in chosen.into_iter().zip(answers) {
+            let reply = match answer {
+                Ok(reply) => reply,
+                Err(e) => {
+                    log::debug!("no answer from {}: {e}", host.name);
+                    self.silent.push(host.name.clone());
+                    continue;
+                }
+            };
+            self.digests.borrow_mut().extend(reply.digests);
+            let Some(head) = reply.head else { continue };
+            let read_at = now.saturating_sub(Duration::from_millis(head.age_ms.into()));
+            let order = (head.revision, read_at);
+            if newest.as_ref().is_none_or(|(known, at)| (known.revision, *at) < order) {
+                newest = Some((head, read_at));
+            }
         }
-        let head = self.platform.get(HEAD_KEY).await?;
-        let head: Head = parse(head.as_ref()).unwrap_or_default();
-        let mut follow = self.replica.on_head(head, self.clock.now());
+        newest
+    }
+
+    fn is_own_dispatcher(&self, host: &Host) -> bool {
+        let member = &self.parts.member;
+        member.process.as_str() == "dispatcher" && member.host == host.name
+    }
+
+    /// A member's row stands before the head is first read; see [`Acknowledgement`].
+    async fn follow(&mut self, learned: Option<(SeenHead, Duration)>) -> Result<()> {
+        if !self.listed {
+            self.write_member().await?;
+            self.listed = true;
+        }
+        if let Some((seen, read_at)) = learned {
+            let follow = self.replica.on_head(seen.head, seen.revision, read_at);
+            self.catch_up(follow).await?;
+        }
+        let now = self.parts.clock.now();
+        if self.polled_at.is_some_and(|at| now < at + self.poll_interval()) {
+            return Ok(());
+        }
+        let row = self.parts.platform.get(HEAD_KEY).await?;
+        self.polled_at = Some(now);
+        self.table_up = true;
+        let revision = row.as_ref().map_or(0, |row| row.revision);
+        let head: Head = parse(row.as_ref()).unwrap_or_default();
+        let follow = self.replica.on_head(head, revision, now);
+        self.catch_up(follow).await
+    }
+
+    /// Spreads a zone's reads of the head row over its processes.
+    fn poll_interval(&self) -> Duration {
+        let hosts = self.zone_hosts().count().max(1) as u32;
+        ZONE_POLL_INTERVAL * hosts * PROCESSES_PER_HOST
+    }
+
+    fn zone_hosts(&self) -> impl Iterator<Item = &Host> {
+        let zone = self.hosts.iter().find(|h| h.name == self.parts.member.host).map(|h| &h.zone);
+        self.hosts.iter().filter(move |host| host.is_entry_host() && Some(&host.zone) == zone)
+    }
+
+    async fn catch_up(&mut self, mut follow: Follow) -> Result<()> {
         for _ in 0..STEPS_MAX {
             follow = match follow {
                 Follow::Nothing => return Ok(()),
@@ -133,9 +244,9 @@
                     self.replica.on_records(&records)
                 }
                 Follow::Acknowledge(revision) => {
+                    self.acknowledged = self.acknowledged.max(revision);
                     self.replica.on_acknowledging(revision);
-                    self.write_member(revision).await?;
-                    return Ok(());
+                    return self.acknowledge().await;
                 }
             };
         }
@@ -144,33 +255,65 @@
 
     async fn fetch(&self, from: u64, to: u64) -> Result<Vec<ChangeRecord>> {
         if from == to {
-            let row = self.platform.get(&record_key(from)).await?;
+            let row = self.parts.platform.get(&record_key(from)).await?;
             return Ok(parse(row.as_ref()).into_iter().collect());
         }
-        let rows = self.platform.list("config/change/").await?;
+        let rows = self.parts.platform.list("config/change/").await?;
         let records = rows.iter().filter_map(|row| parse::<ChangeRecord>(Some(row)));
         Ok(records.filter(|record| (from..=to).contains(&record.revision)).collect())
     }
 
-    async fn write_member(&mut self, acknowledged: u64) -> Result<()> {
-        self.acknowledged = self.acknowledged.max(acknowledged);
-        let (member, incarnation) = (self.member.clone(), self.incarnation);
-        let row = Acknowledgement { member, incarnation, revision: self.acknowledged };
-        let value = serde_json::to_string(&row).unwrap_or_default();
-        let write = guavaspread_platform::Write { key: self.member_key(), value: Some(value) };
-        let tx = Transaction { conditions: Vec::new(), writes: vec![write] };
-        let committed = self.platform.commit(&tx).await?;
-        self.member_revision = Some(committed.revision);
-        Ok(())
+    /// Acknowledges through the zone's aggregator; alone, if that does not answer.
+    async fn acknowledge(&self) -> Result<()> {
+        if let Some(aggregator) = self.aggregator() {
+            let ask = Ask::Acknowledge(self.member_row());
+            match self.parts.links.ask::<bool>(aggregator, &ask).await {
+                Ok(true) => return Ok(()),
+                Ok(false) => log::debug!("{aggregator} could not write the acknowledgement"),
+                Err(e) => log::debug!("no acknowledgement through {aggregator}: {e}"),
+            }
+        }
+        self.write_member().await
+    }
+
+    /// Chooses the dispatcher that gathers the acknowledgements of this revision.
+    fn aggregator(&self) -> Option<SocketAddr> {
+        if self.zone_hosts().count() < AGGREGATE_FROM_HOSTS {
+            return None;
+        }
+        let key = self.acknowledged.to_string();
+        let live = self.zone_hosts().filter(|host| host.state == HostState::Live);
+        let first = live.max_by_key(|host| rendezvous_score(&key, host.name.as_str()))?;
+        (!self.is_own_dispatcher(first)).then_some(first.address)
+    }
+
+    async fn write_member(&self) -> Result<()> {
+        let tx = member_transaction(&self.member_row());
+        self.parts.platform.commit(&tx).await.map(drop)
+    }
+
+    fn member_row(&self) -> Acknowledgement {
+        Acknowledgement {
+            member: self.parts.member.clone(),
+            incarnation: self.parts.incarnation,
+            revision: self.acknowledged,
+        }
     }
 
     fn member_key(&self) -> String {
-        format!("{MEMBER_PREFIX}{}.{}", self.member.host, self.member.process)
+        member_key(&self.parts.member)
     }
 }
 
-fn delete(key: &str) -> guavaspread_platform::Write {
-    guavaspread_platform::Write { key: key.to_owned(), value: None }
+/// Makes the transaction that writes a member's row.
+pub fn member_transaction(row: &Acknowledgement) -> Transaction {
+    let value = serde_json::to_string(row).unwrap_or_default();
+    let write = Write { key: member_key(&row.member), value: Some(value) };
+    Transaction { conditions: Vec::new(), writes: vec![write] }
+}
+
+fn member_key(member: &Member) -> String {
+    format!("{MEMBER_PREFIX}{}.{}", member.host, member.process)
 }
 
 pub(crate) fn parse<T: DeserializeOwned>(row: Option<&Row>) -> Option<T> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,17 +7,20 @@
 //! |---|---|
 //! | read the monotonic clock | [`Clock`] |
 //! | follow the platform | [`Follower`] |
+//! | reach a dispatcher | [`Links`] |
 //! | propose a configuration change | [`propose`] |
 //! | read what is followed | [`Snapshot`] |
 //! | end in order | [`Stop`], [`stop_on_signals`] |
 
 mod clock;
 mod follower;
+mod links;
 mod proposer;
 mod stop;
 
 pub use clock::Clock;
-pub use follower::{Follower, Snapshot};
+pub use follower::{Follower, FollowerParts, Snapshot, member_transaction};
+pub use links::{Links, OpenError};
 pub use proposer::propose;
 pub use stop::{Stop, StopHandle, stop_channel, stop_on_signals};
 
--- a/crates/gateway/src/links.rs
+++ b/crates/control/src/links.rs
@@ -1,21 +1,21 @@
 //! QUIC connections to dispatchers.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, SERVER_NAME, client_endpoint};
 use quinn::{Connection, Endpoint};
 use serde::de::DeserializeOwned;
 
-use crate::prelude::*;
-
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Tells why a stream could not be opened.
 #[derive(Debug)]
-pub(crate) enum OpenError {
+pub enum OpenError {
     /// Nothing of the question left this process.
     NotSent(String),
     /// The question may have been acted on.
@@ -23,7 +23,7 @@
 }
 
 /// Holds the connections of one thread; made inside that thread's runtime.
-pub(crate) struct Links {
+pub struct Links {
     endpoint: Endpoint,
     connections: RefCell<HashMap<SocketAddr, Connection>>,
 }
@@ -37,18 +37,23 @@
 }
 
 impl Links {
-    pub(crate) fn new(identity: &Identity) -> guavaspread_wire::Result<Self> {
+    /// Opens an endpoint that makes connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the identity is unusable or no socket can be had.
+    pub fn new(identity: &Identity) -> guavaspread_wire::Result<Self> {
         let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         let endpoint = client_endpoint(identity, any)?;
         Ok(Links { endpoint, connections: RefCell::default() })
     }
 
     /// Opens a stream and sends `ask` on it.
-    pub(crate) async fn open(
-        &self,
-        address: SocketAddr,
-        ask: &Ask,
-    ) -> Result<FrameReceiver, OpenError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection or stream can be had; says whether `ask` may have arrived.
+    pub async fn open(&self, address: SocketAddr, ask: &Ask) -> Result<FrameReceiver, OpenError> {
         let connection = self.connection(address).await.map_err(OpenError::NotSent)?;
         let opened = ntex::time::timeout(CONNECT_TIMEOUT, connection.open_bi()).await;
         let Ok(Ok((tx, rx))) = opened else {
@@ -62,7 +67,11 @@
     }
 
     /// Asks for one answer.
-    pub(crate) async fn ask<T: DeserializeOwned>(
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer can't be reached or does not answer in time.
+    pub async fn ask<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
         ask: &Ask,
@@ -82,7 +91,7 @@
     }
 
     /// Leaves a connection, so that the next stream is opened on a new one.
-    pub(crate) fn forget(&self, address: SocketAddr) {
+    pub fn forget(&self, address: SocketAddr) {
         self.connections.borrow_mut().remove(&address);
     }
 
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::thread;
 
-use guavaspread_config::Member;
-use guavaspread_control::{Follower, Snapshot};
+use guavaspread_config::{Acknowledgement, Member};
+use guavaspread_control::{Follower, FollowerParts, Links, Snapshot, member_transaction};
 use guavaspread_ownership::{Holder, Right, Role};
-use guavaspread_platform::{HttpPlatform, Platform};
+use guavaspread_platform::{GroupCommit, HttpPlatform, Platform};
 use guavaspread_settings::DispatcherSettings;
+use guavaspread_wire::Identity;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 
@@ -15,6 +16,8 @@
 use crate::prelude::*;
 
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Dispatchers asked in one step.
+const PEERS_PER_STEP: usize = 1;
 const GRANT_TIMEOUT: Duration = Duration::from_millis(1_500);
 const FAREWELL_STEPS: u32 = 20;
 
@@ -23,6 +26,7 @@
 pub(crate) struct State {
     /// Grows with each state shown.
     pub(crate) generation: u64,
+    pub(crate) taken_at: Duration,
     pub(crate) snapshot: Snapshot,
     pub(crate) roles: BTreeMap<Name, Role>,
 }
@@ -37,10 +41,24 @@
     Released { engine: Name, generation: u64 },
     /// Gives up every engine as soon as it is idle.
     Leave,
+    /// Writes a member's acknowledgement, together with others.
+    Acknowledge { row: Acknowledgement, reply: oneshot::Sender<bool> },
     /// Ends the thread once no row lists this process.
     Farewell { reply: oneshot::Sender<()> },
 }
 
+impl Request {
+    /// Tells whether somebody waits for the next step.
+    fn is_urgent(&self) -> bool {
+        match self {
+            Request::Evict { .. } | Request::Leave | Request::Farewell { .. } => true,
+            Request::Evicted { .. } | Request::Released { .. } | Request::Acknowledge { .. } => {
+                false
+            }
+        }
+    }
+}
+
 /// Reaches the control thread.
 #[derive(Clone)]
 pub(crate) struct ControlHandle {
@@ -59,6 +77,7 @@
     clock: Clock,
     follower: Follower,
     leases: Leases,
+    group: Rc<GroupCommit>,
     state: watch::Sender<Option<Arc<State>>>,
     grants: Vec<PendingGrant>,
     generation: u64,
@@ -69,26 +88,36 @@
 }
 
 /// Starts the control thread.
-pub(crate) fn spawn(cfg: &DispatcherSettings, clock: Clock) -> std::io::Result<ControlHandle> {
+pub(crate) fn spawn(
+    cfg: &DispatcherSettings,
+    identity: Identity,
+    clock: Clock,
+) -> std::io::Result<ControlHandle> {
     let (requests, rx) = mpsc::unbounded_channel();
     let (tx, state) = watch::channel(None);
     let process = cfg.process.clone();
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let platform: Rc<dyn Platform> = match HttpPlatform::new(process.platform).await {
-                Ok(platform) => Rc::new(platform),
-                Err(e) => {
-                    log::error!("the control thread can't start: {e}");
-                    return;
-                }
-            };
+            let (platform, links): (Rc<dyn Platform>, Rc<Links>) =
+                match (HttpPlatform::new(process.platform).await, Links::new(&identity)) {
+                    (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
+                    (Err(e), _) => return log::error!("the control thread can't start: {e}"),
+                    (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
+                };
             let incarnation = rand::random();
             let holder = Holder { host: process.host.clone(), incarnation };
             let member = Member { host: process.host, process: dispatcher_name() };
             let control = Control {
                 clock,
-                follower: Follower::new(platform.clone(), clock, member, incarnation),
+                follower: Follower::new(FollowerParts {
+                    platform: platform.clone(),
+                    links,
+                    clock,
+                    member,
+                    incarnation,
+                }),
+                group: GroupCommit::new(platform.clone()),
                 leases: Leases::new(platform, clock, holder),
                 state: tx,
                 grants: Vec::new(),
@@ -115,21 +144,19 @@
                 return;
             }
             let next_step = Instant::now() + STEP_INTERVAL;
-            match timeout_at(next_step, rx.recv()).await {
-                Ok(Some(request)) => {
-                    self.on_request(request);
-                    while let Ok(request) = rx.try_recv() {
-                        self.on_request(request);
-                    }
+            while let Ok(request) = timeout_at(next_step, rx.recv()).await {
+                let Some(request) = request else { return };
+                let urgent = request.is_urgent();
+                self.on_request(request);
+                if urgent {
+                    break;
                 }
-                Ok(None) => return,
-                Err(_) => {}
             }
         }
     }
 
     async fn step(&mut self) {
-        self.follower.step().await;
+        self.follower.step(PEERS_PER_STEP).await;
         let snapshot = self.follower.snapshot();
         self.leases.on_snapshot(&snapshot);
         self.leases.step().await;
@@ -155,7 +182,12 @@
             }
         }
         // Traffic threads that have ended need no state.
-        let _ = self.state.send(Some(Arc::new(State { generation, snapshot, roles })));
+        let _ = self.state.send(Some(Arc::new(State {
+            generation,
+            taken_at: self.clock.now(),
+            snapshot,
+            roles,
+        })));
     }
 
     fn on_request(&mut self, request: Request) {
@@ -178,11 +210,21 @@
                     lease.set_busy(false);
                 }
             }
+            Request::Acknowledge { row, reply } => self.acknowledge(&row, reply),
             Request::Leave => self.leases.leave(),
             Request::Farewell { reply } => self.farewell = Some(reply),
         }
     }
 
+    fn acknowledge(&self, row: &Acknowledgement, reply: oneshot::Sender<bool>) {
+        let (group, tx) = (self.group.clone(), member_transaction(row));
+        ntex::rt::spawn(async move {
+            let written = group.commit(tx).await.is_ok();
+            // A member that gave up waiting writes its row itself.
+            let _ = reply.send(written);
+        });
+    }
+
     fn answer_grants(&mut self) {
         let now = self.clock.now();
         for pending in std::mem::take(&mut self.grants) {
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -50,6 +50,8 @@
     sequence: Cell<u64>,
     /// The state of the control thread that `right` is from.
     generation: Cell<u64>,
+    /// Whether the control thread was told that the engine is let go of.
+    released: Cell<bool>,
 }
 
 impl Desk {
@@ -67,6 +69,7 @@
             under_way: Cell::new(0),
             sequence: Cell::new(0),
             generation: Cell::new(0),
+            released: Cell::new(false),
         })
     }
 
@@ -368,7 +371,11 @@
 
     /// Lets go of an engine that this host may not use, once nothing is under way there.
     fn release_if_idle(&self) {
-        if self.is_open() || self.under_way.get() > 0 || self.running() > 0 {
+        if self.is_open() {
+            self.released.set(false);
+            return;
+        }
+        if self.under_way.get() > 0 || self.running() > 0 || self.released.replace(true) {
             return;
         }
         let engine = self.parts.host.clone();
--- a/crates/dispatcher/src/office.rs
+++ b/crates/dispatcher/src/office.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use guavaspread_config::Acknowledgement;
 use guavaspread_engine::{Backend, HttpBackend};
 use guavaspread_ownership::Role;
 use guavaspread_placement::QueueLimits;
 use guavaspread_settings::{DispatcherSettings, EngineLimits};
-use guavaspread_wire::{DigestEntry, RefusalCount, StatusReply};
+use guavaspread_wire::{ExchangeReply, RefusalCount, SeenHead, StatusReply};
+use tokio::sync::oneshot;
 
-use crate::control::{ControlHandle, State};
+use crate::control::{ControlHandle, Request, State};
 use crate::desk::{Desk, DeskParts};
 use crate::metrics::Metrics;
 use crate::prelude::*;
@@ -114,10 +116,24 @@
         }
     }
 
-    /// Says what other hosts need to know of the engines owned here.
-    pub(crate) fn digests(&self) -> Vec<DigestEntry> {
+    /// Says what other hosts need to know: the head row and the engines owned here.
+    pub(crate) fn exchange(&self) -> ExchangeReply {
+        let state = self.state.borrow();
+        let head = state.as_ref().and_then(|state| {
+            let since = self.clock.now().saturating_sub(state.taken_at).as_millis() as u32;
+            let head = state.snapshot.head.clone()?;
+            Some(SeenHead { age_ms: head.age_ms.saturating_add(since), ..head })
+        });
         let places = self.places.borrow();
-        places.values().filter_map(|place| place.desk.digest(&self.host)).collect()
+        let digests = places.values().filter_map(|place| place.desk.digest(&self.host)).collect();
+        ExchangeReply { head, digests }
+    }
+
+    /// Writes a member's acknowledgement; tells whether it stands in the table.
+    pub(crate) async fn acknowledge(&self, row: Acknowledgement) -> bool {
+        let (reply, written) = oneshot::channel();
+        let asked = self.control.requests.send(Request::Acknowledge { row, reply });
+        asked.is_ok() && written.await.unwrap_or(false)
     }
 
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/dispatcher/src/run.rs
+++ b/crates/dispatcher/src/run.rs
@@ -4,7 +4,7 @@
 use guavaspread_engine::{Category, Error, Piece, RunRequest, RunStream};
 use guavaspread_placement::{Ticket, TicketKey};
 use guavaspread_telemetry::{adopt, traceparent};
-use guavaspread_wire::{FrameSender, RunEvent, RunOrder};
+use guavaspread_wire::{DigestEntry, FrameSender, RunEvent, RunOrder};
 use tokio::sync::oneshot;
 use tracing::Instrument;
 
@@ -94,7 +94,10 @@
         let _under_way = desk.under_way();
         started.set(true);
         match desk.backend().run(request(office, &order)).await {
-            Ok(pieces) => return relay(office, pieces, order.events_seen, tx).await,
+            Ok(pieces) => {
+                let digest = desk.digest(&office.host).map(Box::new);
+                return relay(office, pieces, digest, order.events_seen, tx).await;
+            }
             Err(e) if e.is_not_loaded() => {
                 started.set(false);
                 turn = desk.resubmit(key);
@@ -111,11 +114,19 @@
 }
 
 /// Relays the pieces of an answer, without the events that the caller has had.
-async fn relay(office: &Office, mut pieces: RunStream, mut skip: u32, tx: &mut FrameSender) -> End {
+async fn relay(
+    office: &Office,
+    mut pieces: RunStream,
+    digest: Option<Box<DigestEntry>>,
+    mut skip: u32,
+    tx: &mut FrameSender,
+) -> End {
     while let Some(piece) = pieces.next().await {
         let event = match piece {
             Ok(Piece::Done) => return End::Whole,
-            Ok(Piece::Head { status, content_type }) => RunEvent::Head { status, content_type },
+            Ok(Piece::Head { status, content_type }) => {
+                RunEvent::Head { status, content_type, digest: digest.clone() }
+            }
             Ok(Piece::Data(_)) if skip > 0 => {
                 skip -= 1;
                 continue;
--- a/crates/dispatcher/src/server.rs
+++ b/crates/dispatcher/src/server.rs
@@ -30,7 +30,7 @@
     let endpoint = server_endpoint(&identity, cfg.listen)
         .wrap_err_with(|| format!("listening on {}", cfg.listen))?;
     let clock = Clock::start();
-    let control = control::spawn(&cfg, clock)?;
+    let control = control::spawn(&cfg, identity, clock)?;
     let metrics = Metrics::new();
     let drain = Duration::from_millis(cfg.drain_ms.into());
     let office = Office::new(cfg.clone(), clock, control.clone(), metrics.clone());
@@ -103,7 +103,8 @@
     let sent = match ask {
         Ask::Run(order) => return crate::run::answer(office, *order, tx).await,
         Ask::Status => tx.send(&office.status()).await,
-        Ask::Digests => tx.send(&office.digests()).await,
+        Ask::Exchange => tx.send(&office.exchange()).await,
+        Ask::Acknowledge(row) => tx.send(&office.acknowledge(row).await).await,
     };
     match sent {
         Ok(()) => tx.finish(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,11 +3,11 @@
 use std::pin::Pin;
 
 use futures::{Stream, stream};
+use guavaspread_control::OpenError;
 use guavaspread_placement::EngineKey;
 use guavaspread_wire::Ask;
 use guavaspread_wire::{FrameReceiver, RunEvent, RunOrder};
 
-use crate::links::OpenError;
 use crate::prelude::*;
 use crate::worker::{Chosen, Worker};
 
@@ -97,7 +97,10 @@
     let until = deadline + DEADLINE_MARGIN;
     let mut rx = Receiver { worker: worker.clone(), engine: chosen.key, rx, until };
     match rx.next().await {
-        Ok(RunEvent::Head { status, content_type }) => {
+        Ok(RunEvent::Head { status, content_type, digest }) => {
+            if let Some(digest) = digest {
+                worker.on_digest(chosen.key, &digest);
+            }
             Attempt::Started(Answer { status, content_type, events: rx.into_events() })
         }
         Ok(RunEvent::Refused(refusal)) => sort_refusal(refusal),
--- a/crates/gateway/src/board.rs
+++ b/crates/gateway/src/board.rs
@@ -58,18 +58,29 @@
     }
 }
 
+/// Takes over what the owner says of an engine.
+pub(crate) fn with_digest(view: EngineView, digest: &DigestEntry) -> EngineView {
+    EngineView {
+        load: digest.load.into(),
+        coldest: digest.coldest.into(),
+        loaded: digest.loaded.iter().copied().collect(),
+        ..view
+    }
+}
+
 impl EngineEntry {
     /// Describes the engine to the router of a gateway in `zone`.
     pub(crate) fn view(&self, zone: &Name, batch: u32) -> EngineView {
-        let digest = self.digest.as_deref();
-        EngineView {
+        let view = EngineView {
             host: Some(self.host.clone()),
             same_zone: self.zone == *zone,
             open: self.open,
-            load: digest.map_or(0, |d| d.load.into()),
             batch,
-            coldest: digest.map_or(0.0, |d| d.coldest.into()),
-            loaded: digest.map(|d| d.loaded.iter().copied().collect()).unwrap_or_default(),
+            ..EngineView::default()
+        };
+        match &self.digest {
+            Some(digest) => with_digest(view, digest),
+            None => view,
         }
     }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,7 +6,7 @@
 
 use futures::future::join_all;
 use guavaspread_config::{Member, Outcome};
-use guavaspread_control::{Follower, OWNER_PREFIX, Snapshot, propose};
+use guavaspread_control::{Follower, FollowerParts, Links, OWNER_PREFIX, Snapshot, propose};
 use guavaspread_model::Change;
 use guavaspread_ownership::OwnerRow;
 use guavaspread_platform::{HttpPlatform, Platform};
@@ -16,13 +16,15 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::board::Board;
-use crate::links::Links;
 use crate::prelude::*;
 
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the owners are read while some engine's owner has not been heard.
 const OWNERS_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Dispatchers asked for their digests in one step.
-const DIGESTS_PER_STEP: usize = 4;
+/// How often they are read all the same.
+const OWNERS_REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Dispatchers asked in one step.
+const PEERS_PER_STEP: usize = 1;
 
 /// Asks the control thread for something.
 pub(crate) enum Request {
@@ -50,7 +52,6 @@
     owners: BTreeMap<Name, Name>,
     owners_at: Option<Duration>,
     digests: BTreeMap<Name, Arc<DigestEntry>>,
-    next_digest: usize,
     board: watch::Sender<Option<Arc<Board>>>,
 }
 
@@ -67,9 +68,9 @@
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let (platform, links): (Rc<dyn Platform>, Links) =
+            let (platform, links): (Rc<dyn Platform>, Rc<Links>) =
                 match (HttpPlatform::new(process.platform).await, Links::new(&identity)) {
-                    (Ok(platform), Ok(links)) => (Rc::new(platform), links),
+                    (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
                     (Err(e), _) => return log::error!("the control thread can't start: {e}"),
                     (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
                 };
@@ -77,13 +78,18 @@
             let control = Control {
                 clock,
                 host: process.host,
-                follower: Follower::new(platform.clone(), clock, member, incarnation),
+                follower: Follower::new(FollowerParts {
+                    platform: platform.clone(),
+                    links: links.clone(),
+                    clock,
+                    member,
+                    incarnation,
+                }),
                 platform,
-                links: Rc::new(links),
+                links,
                 owners: BTreeMap::new(),
                 owners_at: None,
                 digests: BTreeMap::new(),
-                next_digest: 0,
                 board: tx,
             };
             control.run(rx).await;
@@ -111,10 +117,15 @@
     }
 
     async fn step(&mut self) {
-        self.follower.step().await;
-        self.read_owners().await;
+        self.follower.step(PEERS_PER_STEP).await;
         let snapshot = self.follower.snapshot();
-        self.read_digests(&snapshot).await;
+        self.read_owners(&snapshot).await;
+        for digest in self.follower.take_digests() {
+            self.on_digest(digest);
+        }
+        for silent in self.follower.take_silent() {
+            self.digests.retain(|_, digest| digest.owner != silent);
+        }
         let board = Board::new(snapshot, &self.owners, &self.digests);
         // Traffic threads that have ended need no board.
         let _ = self.board.send(Some(Arc::new(board)));
@@ -158,9 +169,12 @@
         });
     }
 
-    async fn read_owners(&mut self) {
+    async fn read_owners(&mut self, snapshot: &Snapshot) {
         let now = self.clock.now();
-        if self.owners_at.is_some_and(|at| now < at + OWNERS_INTERVAL) {
+        let mut engines = snapshot.hosts.iter().filter(|host| host.is_live_engine());
+        let heard = engines.all(|engine| self.digests.contains_key(&engine.name));
+        let interval = if heard { OWNERS_REFRESH_INTERVAL } else { OWNERS_INTERVAL };
+        if self.owners_at.is_some_and(|at| now < at + interval) {
             return;
         }
         match self.platform.list(OWNER_PREFIX).await {
@@ -187,30 +201,6 @@
         }
     }
 
-    /// Asks the next few dispatchers, so that the cost does not grow with the fleet.
-    async fn read_digests(&mut self, snapshot: &Snapshot) {
-        let dispatchers = dispatchers(snapshot);
-        if dispatchers.is_empty() {
-            return;
-        }
-        let count = DIGESTS_PER_STEP.min(dispatchers.len());
-        let chosen: Vec<&(Name, SocketAddr)> =
-            (0..count).map(|i| &dispatchers[(self.next_digest + i) % dispatchers.len()]).collect();
-        self.next_digest = (self.next_digest + count) % dispatchers.len();
-        let links = &self.links;
-        let asks = chosen.iter().map(|(_, address)| links.ask(*address, &Ask::Digests));
-        let answers: Vec<Result<Vec<DigestEntry>, String>> = join_all(asks).await;
-        for ((host, _), answer) in chosen.iter().zip(answers) {
-            match answer {
-                Ok(digests) => digests.into_iter().for_each(|digest| self.on_digest(digest)),
-                Err(e) => {
-                    log::debug!("no digests from {host}: {e}");
-                    self.digests.retain(|_, digest| digest.owner != *host);
-                }
-            }
-        }
-    }
-
     fn on_digest(&mut self, digest: DigestEntry) {
         let known = self.digests.get(&digest.host).map(|known| known.fence);
         if known.is_none_or(|fence| fence <= digest.fence) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,6 @@
 mod completion;
 mod control;
 mod deliver;
-mod links;
 mod metrics;
 mod once;
 mod operator;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -234,7 +234,9 @@
         let _counted = &under_way;
         match piece {
             Ok(Piece::Data(data)) => Ok(RunEvent::Data(data)),
-            Ok(Piece::Head { status, content_type }) => Ok(RunEvent::Head { status, content_type }),
+            Ok(Piece::Head { status, content_type }) => {
+                Ok(RunEvent::Head { status, content_type, digest: None })
+            }
             Ok(Piece::Done) => Ok(RunEvent::Done),
             Err(e) => Err(Refusal::maybe_ran(Code::Cut, e.to_string())),
         }
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -3,15 +3,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use guavaspread_control::Links;
 use guavaspread_placement::{DemandMap, EngineKey, RetryBudget, Route, Router};
 use guavaspread_platform::{GroupCommit, HttpPlatform, Platform};
 use guavaspread_settings::GatewaySettings;
-use guavaspread_wire::Identity;
+use guavaspread_wire::{DigestEntry, Identity};
 use slotmap::SecondaryMap;
 
-use crate::board::Board;
+use crate::board::{Board, with_digest};
 use crate::control::ControlHandle;
-use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::prelude::*;
 use crate::service::Services;
@@ -120,6 +120,20 @@
         Some(Chosen { key, host: known.host.clone(), dispatcher: known.dispatcher? })
     }
 
+    /// Takes over what the owner of an engine says with an answer.
+    pub(crate) fn on_digest(&self, key: EngineKey, digest: &DigestEntry) {
+        let mut known = self.known.borrow_mut();
+        let mut router = self.router.borrow_mut();
+        let statement = Some((digest.fence, digest.sequence));
+        let Some(engine) = known.get_mut(key).filter(|engine| engine.statement < statement) else {
+            return;
+        };
+        engine.statement = statement;
+        if let Some(view) = router.view(key).cloned() {
+            router.report(key, with_digest(view, digest));
+        }
+    }
+
     pub(crate) fn on_attempt_ended(&self, key: EngineKey) {
         self.router.borrow_mut().on_finished(key);
     }
@@ -173,7 +187,7 @@
             let statement = entry.statement();
             let key = match known.get(key) {
                 None => router.insert(view),
-                Some(old) if old.statement != statement => {
+                Some(old) if old.statement < statement => {
                     router.report(key, view);
                     key
                 }
@@ -182,6 +196,7 @@
                     key
                 }
             };
+            let statement = known.get(key).map_or(statement, |old| old.statement.max(statement));
             let host = entry.host.clone();
             known.insert(key, Known { host, dispatcher: entry.dispatcher, statement });
         }
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -14,6 +14,8 @@
     pub lease: Duration,
     /// How often the owner writes the row.
     pub renew: Duration,
+    /// How often the other candidates read it.
+    pub watch: Duration,
     /// What two clocks may drift apart over one lease.
     pub margin: Duration,
     /// How much longer each lower-ranked candidate waits.
@@ -27,6 +29,7 @@
         LeaseTimes {
             lease: Duration::from_millis(3_000),
             renew: Duration::from_millis(1_000),
+            watch: Duration::from_millis(2_000),
             margin: Duration::from_millis(300),
             stagger: Duration::from_millis(400),
             horizon: Duration::from_secs(30),
@@ -308,7 +311,7 @@
         {
             return commit(seen.row.taken_over(self.me.clone()), Some(seen.revision));
         }
-        let stale = self.read_at.is_none_or(|at| now >= at + self.times.renew);
+        let stale = self.read_at.is_none_or(|at| now >= at + self.times.watch);
         if stale { Next::Read } else { Next::Nothing }
     }
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct PlatformStats {
-    /// Table reads.
+    /// Reads of the table and of the host list.
     pub reads: u64,
     /// Table commits that took effect.
     pub commits: u64,
@@ -252,6 +252,7 @@
 }
 
 async fn hosts(this: State<PlatformStandIn>) -> HttpResponse {
+    this.lock().stats.reads += 1;
     HttpResponse::Ok().json(&this.lock().hosts)
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,6 @@
 pub use frame::{FrameReceiver, FrameSender};
 pub use link::{Identity, SERVER_NAME, client_endpoint, server_endpoint};
 pub use message::{
-    Ask, BackendReport, DigestEntry, LoadedAdapter, RefusalCount, RunEvent, RunOrder, StatusReply,
-    TraceContext,
+    Ask, BackendReport, DigestEntry, ExchangeReply, LoadedAdapter, RefusalCount, RunEvent,
+    RunOrder, SeenHead, StatusReply, TraceContext,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,7 @@
 //! What the processes say to each other.
 
 use bytes::Bytes;
+use guavaspread_config::{Acknowledgement, Head};
 use guavaspread_model::{AdapterVersion, Code, Name, Priority, Refusal};
 use serde::{Deserialize, Serialize};
 
@@ -56,8 +57,11 @@
     Run(Box<RunOrder>),
     /// Asks what the dispatcher holds; answered by one [`StatusReply`].
     Status,
-    /// Asks for the state of the engines owned there; answered by a list of [`DigestEntry`].
-    Digests,
+    /// Asks for what the peer knows; answered by one [`ExchangeReply`].
+    Exchange,
+    /// Writes a member's acknowledgement to the table, together with others; answered by a
+    /// `bool` that tells whether it stands there.
+    Acknowledge(Acknowledgement),
 }
 
 /// Reports on a run.
@@ -70,6 +74,8 @@
         status: u16,
         /// The `Content-Type`, if there is one.
         content_type: Option<String>,
+        /// What the owner says of the engine now.
+        digest: Option<Box<DigestEntry>>,
     },
     /// One event of a stream, or one piece of a plain answer.
     Data(Bytes),
@@ -135,6 +141,28 @@
     pub refused: Vec<RefusalCount>,
 }
 
+/// Carries the configuration's head row as somebody read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct SeenHead {
+    /// The row.
+    pub head: Head,
+    /// The table's revision of the row, 0 while there is none.
+    pub revision: u64,
+    /// How long ago it was read from the table, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Answers [`Ask::Exchange`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ExchangeReply {
+    /// The head row, if the peer knows it.
+    pub head: Option<SeenHead>,
+    /// What the peer says of the backend servers that it owns.
+    pub digests: Vec<DigestEntry>,
+}
+
 /// Carries what the owner of a backend server says of it, from host to host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
