--- a/crates/config/src/proposal.rs
+++ b/crates/config/src/proposal.rs
@@ -78,6 +78,7 @@
 /// Carries one change through its steps.
 pub struct Proposal {
     proposer: Name,
+    token: u64,
     changes: Vec<Change>,
     base: u64,
     times: ProposalTimes,
@@ -88,11 +89,14 @@
 impl Proposal {
     /// Starts to propose `changes` to `config`.
     ///
+    /// `token` must be random.
+    ///
     /// # Errors
     ///
     /// Refuses changes that don't fit `config`.
     pub fn new(
         proposer: Name,
+        token: u64,
         changes: Vec<Change>,
         config: &Config,
         times: ProposalTimes,
@@ -102,7 +106,7 @@
             .apply_all(&changes, config.revision + 1)
             .map_err(|e| Refusal::not_run(e.code(), e.to_string()))?;
         let base = config.revision;
-        Ok(Proposal { proposer, changes, base, times, state: State::Start, other: None })
+        Ok(Proposal { proposer, token, changes, base, times, state: State::Start, other: None })
     }
 
     /// Answers what to do next.
@@ -230,7 +234,7 @@
             return self.wait_for_other(other.clone(), &head, head_revision, now);
         }
         let revision = head.highest + 1;
-        let staged = Staged { revision, proposer: self.proposer.clone() };
+        let staged = self.staged(revision);
         let head = Head { highest: revision, staged: Some(staged), ..head };
         let record = ChangeRecord { revision, base: self.base, changes: self.changes.clone() };
         self.state = State::Staging { revision };
@@ -266,7 +270,7 @@
         revision: u64,
         now: Duration,
     ) -> Step {
-        let staged = Staged { revision, proposer: self.proposer.clone() };
+        let staged = self.staged(revision);
         match head_revision {
             Some(head_revision) if head.staged.as_ref() == Some(&staged) => {
                 self.state = State::Waiting { head, head_revision, since: now };
@@ -304,6 +308,10 @@
         self.end(Outcome::Rejected(Refusal::not_run(Code::ChangeConflict, detail)))
     }
 
+    fn staged(&self, revision: u64) -> Staged {
+        Staged { revision, proposer: self.proposer.clone(), token: self.token }
+    }
+
     fn end(&mut self, outcome: Outcome) -> Step {
         self.state = State::Ended(outcome.clone());
         Step::End(outcome)
--- a/crates/config/src/row.rs
+++ b/crates/config/src/row.rs
@@ -23,6 +23,8 @@
     pub revision: u64,
     /// The entry host that proposed it.
     pub proposer: Name,
+    /// Tells apart two proposals through one host.
+    pub token: u64,
 }
 
 /// Holds the changes of one revision.
--- a/crates/config/tests/regression/main.rs
+++ b/crates/config/tests/regression/main.rs
@@ -3,3 +3,4 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod replaced_host;
+mod same_gateway;
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -31,7 +31,7 @@
     config: &Config,
 ) -> Outcome {
     let times = ProposalTimes::default();
-    let proposal = match Proposal::new(proposer, changes, config, times) {
+    let proposal = match Proposal::new(proposer, rand::random(), changes, config, times) {
         Ok(proposal) => proposal,
         Err(refusal) => return Outcome::Rejected(refusal),
     };
