--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -77,12 +77,15 @@
     replica: Replica,
     listed: bool,
     acknowledged: u64,
+    /// Whether the table may not show what was acknowledged.
+    unwritten: bool,
     hosts: Arc<Vec<Host>>,
     hosts_at: Option<Duration>,
     poll_from: Duration,
     table_up: bool,
     learned: Option<(SeenHead, Duration)>,
     digests: RefCell<Vec<DigestEntry>>,
+    quarantined: Vec<u64>,
     silent: Vec<Name>,
 }
 
@@ -94,12 +97,14 @@
             replica: Replica::new(DOUBT_GRACE),
             listed: false,
             acknowledged: 0,
+            unwritten: false,
             hosts: Arc::new(Vec::new()),
             hosts_at: None,
             poll_from: Duration::ZERO,
             table_up: false,
             learned: None,
             digests: RefCell::default(),
+            quarantined: Vec::new(),
             silent: Vec::new(),
         }
     }
@@ -146,6 +151,11 @@
         self.digests.take()
     }
 
+    /// Takes the hashes of content that peers say crashes engines.
+    pub fn take_quarantined(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.quarantined)
+    }
+
     /// Takes the peers that did not answer since the last call.
     pub fn take_silent(&mut self) -> Vec<Name> {
         std::mem::take(&mut self.silent)
@@ -198,6 +208,7 @@
                 }
             };
             self.digests.borrow_mut().extend(reply.digests);
+            self.quarantined.extend(reply.quarantined);
             if let Some(head) = reply.head {
                 self.learn(head);
             }
@@ -215,6 +226,9 @@
             self.write_member().await?;
             self.listed = true;
         }
+        if self.unwritten {
+            self.acknowledge().await?;
+        }
         if let Some((seen, read_at)) = self.learned.take() {
             let follow = self.replica.on_head(seen.head, seen.revision, read_at);
             self.catch_up(follow).await?;
@@ -254,6 +268,7 @@
                 Follow::Acknowledge(revision) => {
                     self.acknowledged = self.acknowledged.max(revision);
                     self.replica.on_acknowledging(revision);
+                    self.unwritten = true;
                     return self.acknowledge().await;
                 }
             };
@@ -272,16 +287,21 @@
     }
 
     /// Acknowledges through the zone's aggregator; alone, if that does not answer.
-    async fn acknowledge(&self) -> Result<()> {
+    async fn acknowledge(&mut self) -> Result<()> {
         if let Some(aggregator) = self.aggregator() {
             let ask = Ask::Acknowledge(self.member_row());
             match self.parts.links.ask::<bool>(aggregator, &ask).await {
-                Ok(true) => return Ok(()),
+                Ok(true) => {
+                    self.unwritten = false;
+                    return Ok(());
+                }
                 Ok(false) => log::debug!("{aggregator} could not write the acknowledgement"),
                 Err(e) => log::debug!("no acknowledgement through {aggregator}: {e}"),
             }
         }
-        self.write_member().await
+        self.write_member().await?;
+        self.unwritten = false;
+        Ok(())
     }
 
     /// Chooses the dispatcher that gathers the acknowledgements of this revision.
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, SERVER_NAME, client_endpoint};
@@ -37,14 +37,13 @@
 }
 
 impl Links {
-    /// Opens an endpoint that makes connections.
+    /// Opens an endpoint that makes connections from `source`.
     ///
     /// # Errors
     ///
     /// Fails when the identity is unusable or no socket can be had.
-    pub fn new(identity: &Identity) -> guavaspread_wire::Result<Self> {
-        let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
-        let endpoint = client_endpoint(identity, any)?;
+    pub fn new(identity: &Identity, source: IpAddr) -> guavaspread_wire::Result<Self> {
+        let endpoint = client_endpoint(identity, SocketAddr::from((source, 0)))?;
         Ok(Links { endpoint, connections: RefCell::default() })
     }
 
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -77,7 +77,12 @@
                 self.failures = 0;
                 let head: Head = parse(row.as_ref()).unwrap_or_default();
                 let revision = row.map(|row| row.revision);
-                let step = self.proposal.on_head(head, revision, self.clock.now());
+                let staged = head.staged.is_some();
+                let step = self.proposal.on_head(head.clone(), revision, self.clock.now());
+                if let Some(revision) = revision.filter(|_| staged && step == Step::ReadMembers) {
+                    // The answer to the write was lost, so nobody was told.
+                    self.notify(&head, revision).await;
+                }
                 if step == Step::ReadHead {
                     sleep(POLL_INTERVAL).await;
                 }
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -27,6 +27,8 @@
     /// Grows with each state shown.
     pub(crate) generation: u64,
     pub(crate) taken_at: Duration,
+    /// Content that peers say crashes engines.
+    pub(crate) quarantined: Vec<u64>,
     pub(crate) snapshot: Snapshot,
     pub(crate) roles: BTreeMap<Name, Role>,
 }
@@ -100,18 +102,20 @@
 ) -> std::io::Result<ControlHandle> {
     let (requests, rx) = mpsc::unbounded_channel();
     let (tx, state) = watch::channel(None);
-    let process = cfg.process.clone();
+    let (process, probe) = (cfg.process.clone(), cfg.metrics);
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let (platform, links): (Rc<dyn Platform>, Rc<Links>) =
-                match (HttpPlatform::new(process.platform).await, Links::new(&identity)) {
-                    (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
-                    (Err(e), _) => return log::error!("the control thread can't start: {e}"),
-                    (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
-                };
+            let (platform, links): (Rc<dyn Platform>, Rc<Links>) = match (
+                HttpPlatform::new(process.platform).await,
+                Links::new(&identity, process.source),
+            ) {
+                (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
+                (Err(e), _) => return log::error!("the control thread can't start: {e}"),
+                (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
+            };
             let incarnation = rand::random();
-            let holder = Holder { host: process.host.clone(), incarnation };
+            let holder = Holder { host: process.host.clone(), incarnation, probe };
             let member = Member { host: process.host, process: dispatcher_name() };
             let control = Control {
                 clock,
@@ -164,6 +168,7 @@
         self.follower.step(PEERS_PER_STEP).await;
         let snapshot = self.follower.snapshot();
         self.leases.on_snapshot(&snapshot);
+        self.leases.probe().await;
         self.leases.step().await;
         self.answer_grants();
         self.show(snapshot);
@@ -190,6 +195,7 @@
         let _ = self.state.send(Some(Arc::new(State {
             generation,
             taken_at: self.clock.now(),
+            quarantined: self.follower.take_quarantined(),
             snapshot,
             roles,
         })));
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -98,7 +98,8 @@
             self.listed.set(false);
         }
         let mut queue = self.queue.borrow_mut();
-        queue.set_may_evict(right.as_ref().is_some_and(|right| right.may_evict));
+        let may_evict = right.as_ref().is_some_and(|right| right.may_evict);
+        queue.set_may_evict(may_evict, self.now());
         queue.set_barred(right.as_ref().map(|right| right.barred.clone()).unwrap_or_default());
         queue.set_pinned(if owner { pinned } else { BTreeSet::new() });
         drop(queue);
@@ -283,8 +284,13 @@
                     this.listed.set(false);
                 }
             }
-            let took = result.is_ok().then_some(took);
-            this.queue.borrow_mut().on_loaded(&adapter, took, now);
+            match &result {
+                Err(e) if e.is_no_slot() => this.queue.borrow_mut().on_no_slot(&adapter),
+                _ => {
+                    let took = result.is_ok().then_some(took);
+                    this.queue.borrow_mut().on_loaded(&adapter, took, now);
+                }
+            }
             this.pump();
         });
     }
--- a/crates/dispatcher/src/leases.rs
+++ b/crates/dispatcher/src/leases.rs
@@ -1,7 +1,9 @@
 //! The ownerships that this host contends for.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
+use futures::future::join_all;
 use guavaspread_control::{OWNER_PREFIX, Snapshot};
 use guavaspread_model::Config;
 use guavaspread_ownership::{Holder, Lease, LeaseTimes, Next, OwnerRow, Role, rank};
@@ -14,6 +16,9 @@
 /// How long it waits for the preferred host to take over.
 const HANDOVER_PATIENCE: Duration = Duration::from_secs(3);
 
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 struct Contest {
     lease: Lease,
     rank: Option<usize>,
@@ -32,12 +37,20 @@
     clock: Clock,
     me: Holder,
     contests: BTreeMap<Name, Contest>,
+    probe_from: Duration,
     leaving: bool,
 }
 
 impl Leases {
     pub(crate) fn new(platform: Rc<dyn Platform>, clock: Clock, me: Holder) -> Self {
-        Leases { platform, clock, me, contests: BTreeMap::new(), leaving: false }
+        Leases {
+            platform,
+            clock,
+            me,
+            contests: BTreeMap::new(),
+            probe_from: Duration::ZERO,
+            leaving: false,
+        }
     }
 
     /// Takes over which engines and entry hosts there are.
@@ -95,6 +108,31 @@
         self.contests.get_mut(engine).map(|contest| &mut contest.lease)
     }
 
+    /// Connects to the processes whose death would let this one do more; one that refuses is dead.
+    pub(crate) async fn probe(&mut self) {
+        let now = self.clock.now();
+        if now < self.probe_from {
+            return;
+        }
+        self.probe_from = now + PROBE_INTERVAL;
+        let mut suspects: Vec<Holder> = Vec::new();
+        for contest in self.contests.values().filter(|contest| contest.is_concerned()) {
+            for suspect in contest.lease.suspects() {
+                if !suspects.contains(&suspect) {
+                    suspects.push(suspect);
+                }
+            }
+        }
+        let dead = join_all(suspects.iter().map(|suspect| is_refused(suspect.probe))).await;
+        let now = self.clock.now();
+        for (suspect, _) in suspects.iter().zip(dead).filter(|(_, dead)| *dead) {
+            log::info!("{} is dead: it refuses connections", suspect.host);
+            for contest in self.contests.values_mut() {
+                contest.lease.on_dead(suspect, now);
+            }
+        }
+    }
+
     /// Asks to be relieved of every engine.
     pub(crate) fn leave(&mut self) {
         self.leaving = true;
@@ -184,6 +222,11 @@
 }
 
 impl Contest {
+    /// Tells whether this process owns the engine or may come to own it.
+    fn is_concerned(&self) -> bool {
+        self.rank.is_some() || self.lease.is_listed()
+    }
+
     /// Hands an engine to the preferred host once that has been there for a while.
     fn rebalance(&mut self, leaving: bool, now: Duration) {
         let displaced = matches!(self.lease.role(now), Role::Owner(_)) && self.rank != Some(0);
@@ -229,6 +272,15 @@
     }
 }
 
+/// Tells whether nothing listens at an address; a paused process's host still accepts.
+async fn is_refused(address: SocketAddr) -> bool {
+    let connecting = tokio::net::TcpStream::connect(address);
+    match ntex::time::timeout(PROBE_TIMEOUT, connecting).await {
+        Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(()) => false,
+    }
+}
+
 /// Returns the longest deadline that a request may have.
 fn horizon(config: Option<&Config>) -> Duration {
     const DEFAULT_DEADLINE_MS: u32 = 30_000;
--- a/crates/dispatcher/src/office.rs
+++ b/crates/dispatcher/src/office.rs
@@ -1,6 +1,6 @@
 //! All engines that this host works, and what the traffic thread knows.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use guavaspread_config::Acknowledgement;
@@ -16,6 +16,9 @@
 use crate::metrics::Metrics;
 use crate::prelude::*;
 
+/// Hashes of content that are passed on; the table holds all of them.
+const QUARANTINED_MAX: usize = 64;
+
 struct Place {
     address: SocketAddr,
     desk: Rc<Desk>,
@@ -35,6 +38,7 @@
     stopping: Cell<bool>,
     runs: Cell<usize>,
     refused: RefCell<BTreeMap<u16, RefusalCount>>,
+    quarantined: RefCell<VecDeque<u64>>,
 }
 
 impl Office {
@@ -57,11 +61,15 @@
             stopping: Cell::new(false),
             runs: Cell::new(0),
             refused: RefCell::default(),
+            quarantined: RefCell::default(),
         })
     }
 
     /// Takes over a new state of the control thread.
     pub(crate) async fn on_state(&self, state: Arc<State>) {
+        for content in &state.quarantined {
+            self.quarantine(*content);
+        }
         for (engine, role) in &state.roles {
             let Some(host) = state.snapshot.host(engine) else { continue };
             let Some(desk) = self.desk_for(host, role).await else { continue };
@@ -126,7 +134,20 @@
         });
         let places = self.places.borrow();
         let digests = places.values().filter_map(|place| place.desk.digest(&self.host)).collect();
-        ExchangeReply { head, digests }
+        let quarantined = self.quarantined.borrow().iter().copied().collect();
+        ExchangeReply { head, quarantined, digests }
+    }
+
+    /// Remembers content that crashes engines, for gateways that ask.
+    pub(crate) fn quarantine(&self, content: u64) -> bool {
+        let mut quarantined = self.quarantined.borrow_mut();
+        if !quarantined.contains(&content) {
+            quarantined.push_back(content);
+        }
+        while quarantined.len() > QUARANTINED_MAX {
+            quarantined.pop_front();
+        }
+        true
     }
 
     /// Takes over a head row that somebody has just written.
--- a/crates/dispatcher/src/run.rs
+++ b/crates/dispatcher/src/run.rs
@@ -14,6 +14,7 @@
 
 /// How often a run may find that the engine lost its adapter.
 const RESTARTS_MAX: u32 = 3;
+const LIST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Tells how a run ended.
 enum End {
@@ -96,18 +97,35 @@
         match desk.backend().run(request(office, &order)).await {
             Ok(pieces) => {
                 let digest = desk.digest(&office.host).map(Box::new);
-                return relay(office, pieces, digest, order.events_seen, tx).await;
+                let end = relay(office, pieces, digest, order.events_seen, tx).await;
+                return sort_end(&desk, &order, end).await;
             }
             Err(e) if e.is_not_loaded() => {
                 started.set(false);
                 turn = desk.resubmit(key);
             }
-            Err(e) => return End::Refused(failed(&e)),
+            Err(e) => return sort_end(&desk, &order, End::Refused(failed(&e))).await,
         }
     }
     End::Refused(Refusal::not_run(Code::LoadFailed, "the engine kept losing the adapter"))
 }
 
+/// Tells an engine that crashed from a connection that broke: a crashed engine is away, or back
+/// without the adapter.
+async fn sort_end(desk: &Rc<Desk>, order: &RunOrder, end: End) -> End {
+    let End::Refused(refusal) = end else {
+        return end;
+    };
+    if refusal.code != Code::Cut {
+        return End::Refused(refusal);
+    }
+    let backend = desk.backend();
+    let listed = ntex::time::timeout(LIST_TIMEOUT, backend.loaded()).await;
+    let alive = matches!(listed, Ok(Ok(listed)) if listed.contains(&order.adapter));
+    let code = if alive { Code::Cut } else { Code::BackendCrashed };
+    End::Refused(Refusal { code, ..refusal })
+}
+
 async fn take_turn(turn: oneshot::Receiver<Turn>) -> Turn {
     let gone = || Refusal::not_run(Code::Stopping, "the engine's queue was given up");
     turn.await.unwrap_or_else(|_| Err(gone()))
@@ -149,6 +167,7 @@
         deadline: now + Duration::from_millis(order.deadline_ms.into()),
         worth: order.worth,
         priority: order.priority,
+        alone: order.alone,
     }
 }
 
--- a/crates/dispatcher/src/server.rs
+++ b/crates/dispatcher/src/server.rs
@@ -30,12 +30,14 @@
     let endpoint = server_endpoint(&identity, cfg.listen)
         .wrap_err_with(|| format!("listening on {}", cfg.listen))?;
     let clock = Clock::start();
-    let control = control::spawn(&cfg, identity, clock)?;
     let metrics = Metrics::new();
-    let drain = Duration::from_millis(cfg.drain_ms.into());
-    let office = Office::new(cfg.clone(), clock, control.clone(), metrics.clone());
     let ready = Arc::new(AtomicBool::new(false));
-    let http = serve_http(&cfg, metrics, ready.clone())?;
+    // Others take this process for dead when this address refuses connections, so it is bound
+    // before anything is owned and until nothing is.
+    let http = serve_http(&cfg, metrics.clone(), ready.clone())?;
+    let control = control::spawn(&cfg, identity, clock)?;
+    let drain = Duration::from_millis(cfg.drain_ms.into());
+    let office = Office::new(cfg.clone(), clock, control.clone(), metrics);
     follow_control(office.clone(), control.clone());
     tick(office.clone(), ready);
     accept(office.clone(), endpoint.clone());
@@ -105,6 +107,7 @@
         Ask::Status => tx.send(&office.status()).await,
         Ask::Exchange => tx.send(&office.exchange()).await,
         Ask::Head(seen) => tx.send(&office.learn(seen)).await,
+        Ask::Quarantine(content) => tx.send(&office.quarantine(content)).await,
         Ask::Acknowledge(row) => tx.send(&office.acknowledge(row).await).await,
     };
     match sent {
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -21,6 +21,7 @@
     NotLoaded,
     StaleFence,
     LoadFailed,
+    NoSlot,
     Broken,
     Silent,
 }
@@ -45,9 +46,10 @@
     pub fn classify(&self) -> Category {
         match self.inner.code {
             ErrorCode::Unreachable => Category::NotSent,
-            ErrorCode::NotLoaded | ErrorCode::StaleFence | ErrorCode::LoadFailed => {
-                Category::Refused
-            }
+            ErrorCode::NotLoaded
+            | ErrorCode::StaleFence
+            | ErrorCode::LoadFailed
+            | ErrorCode::NoSlot => Category::Refused,
             ErrorCode::Broken | ErrorCode::Silent => Category::Unknown,
         }
     }
@@ -57,6 +59,11 @@
         self.inner.code == ErrorCode::NotLoaded
     }
 
+    /// Tells whether the engine had no slot free for the adapter.
+    pub fn is_no_slot(&self) -> bool {
+        self.inner.code == ErrorCode::NoSlot
+    }
+
     /// Tells whether the engine has seen a higher fencing number.
     pub fn is_stale_fence(&self) -> bool {
         self.inner.code == ErrorCode::StaleFence
@@ -70,6 +77,7 @@
             ErrorCode::NotLoaded => "the engine does not hold the adapter",
             ErrorCode::StaleFence => "the engine has seen a higher fencing number",
             ErrorCode::LoadFailed => "the engine could not load or unload the adapter",
+            ErrorCode::NoSlot => "the engine has no free slot",
             ErrorCode::Broken => "the answer broke off",
             ErrorCode::Silent => "the backend server went silent",
         };
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -78,6 +78,7 @@
             StatusCode::OK => Ok(()),
             StatusCode::CONFLICT => Err(Error::new(ErrorCode::StaleFence, adapter)),
             StatusCode::NOT_FOUND => Err(Error::new(ErrorCode::NotLoaded, adapter)),
+            StatusCode::BAD_REQUEST => Err(Error::new(ErrorCode::NoSlot, adapter)),
             status => Err(Error::new(ErrorCode::LoadFailed, status)),
         }
     }
--- a/crates/gateway/src/api.rs
+++ b/crates/gateway/src/api.rs
@@ -91,8 +91,7 @@
 }
 
 async fn ready(worker: Shared) -> HttpResponse {
-    let ready = worker.board().is_ok_and(|board| board.snapshot.view.config.is_some());
-    match ready {
+    match worker.is_ready() {
         true => HttpResponse::Ok().finish(),
         false => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/crates/gateway/src/board.rs
+++ b/crates/gateway/src/board.rs
@@ -1,6 +1,6 @@
 //! What the control thread knows of engines, their owners and their load.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use guavaspread_control::Snapshot;
@@ -27,6 +27,8 @@
 pub(crate) struct Board {
     pub(crate) snapshot: Snapshot,
     pub(crate) engines: Vec<EngineEntry>,
+    /// Hashes of content that crashes engines.
+    pub(crate) quarantined: BTreeSet<u64>,
 }
 
 impl Board {
@@ -35,6 +37,7 @@
         snapshot: Snapshot,
         owners: &BTreeMap<Name, Name>,
         digests: &BTreeMap<Name, Arc<DigestEntry>>,
+        quarantined: BTreeSet<u64>,
     ) -> Self {
         let config = snapshot.view.config.clone();
         let engines = snapshot.hosts.iter().filter(|host| host.kind == HostKind::Engine);
@@ -54,7 +57,7 @@
             }
         });
         let engines = engines.collect();
-        Board { snapshot, engines }
+        Board { snapshot, engines, quarantined }
     }
 }
 
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -1,6 +1,6 @@
 //! The OpenAI-compatible completions API.
 
-use guavaspread_model::{Adapter, DEFAULT_CLASS, KeyHash, RequestClass};
+use guavaspread_model::{Adapter, DEFAULT_CLASS, KeyHash, RequestClass, content_hash};
 use guavaspread_telemetry::{adopt, traceparent};
 use guavaspread_wire::{RunOrder, TraceContext};
 use ntex::http::header;
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use tracing::Instrument;
 
-use crate::attempt;
+use crate::attempt::Run;
 use crate::board::Board;
 use crate::deliver::{Delivery, replay};
 use crate::once::{OnceKey, Outcome, run_once};
@@ -26,6 +26,17 @@
     model: String,
     #[serde(default)]
     stream: Option<bool>,
+    #[serde(default)]
+    seed: Option<i64>,
+    #[serde(default)]
+    temperature: Option<f64>,
+}
+
+impl Head {
+    /// Tells whether another run generates the same answer.
+    fn is_deterministic(&self) -> bool {
+        self.seed.is_some() || self.temperature == Some(0.0)
+    }
 }
 
 /// Holds a request that was checked against the configuration.
@@ -33,6 +44,7 @@
     adapter: AdapterVersion,
     class: RequestClass,
     stream: bool,
+    deterministic: bool,
     revision: u64,
 }
 
@@ -65,15 +77,18 @@
     let organisation = authenticate(&board, req)?;
     let body = read_body(worker, payload).await?;
     let checked = check(&board, req, &organisation, &body)?;
+    let content = content_hash(&body);
+    worker.quarantine.check(&board, content)?;
     let deadline = started + Duration::from_millis(checked.class.deadline_ms.into());
     let (worth, stream) = (checked.class.worth, checked.stream);
     let once = match checked.class.repeatable {
         true => None,
         false => Some(OnceKey::of(req, organisation, path, &body)?),
     };
+    let deterministic = checked.deterministic;
     let order = order(worker, req, path, body, checked);
-    let this = worker.clone();
-    let start = async move { attempt::start(&this, order, deadline).await };
+    let run = Run::new(worker, order, content, deterministic, deadline);
+    let start = run.start();
     let outcome = match once {
         Some(key) => run_once(worker, key, deadline, start).await?,
         None => Outcome::Live(start.await?),
@@ -156,7 +171,8 @@
     let class = class_of(&config, declared, req)?;
     refuse_in_doubt(board, &adapter, &class, req)?;
     let stream = head.stream.unwrap_or(false);
-    Ok(Checked { adapter, class, stream, revision: config.revision })
+    let deterministic = head.is_deterministic();
+    Ok(Checked { adapter, class, stream, deterministic, revision: config.revision })
 }
 
 fn class_of(
@@ -218,6 +234,7 @@
         worth: checked.class.worth,
         priority: checked.class.priority,
         repeatable: checked.class.repeatable,
+        alone: false,
         events_seen: 0,
         revision: checked.revision,
         trace: TraceContext { traceparent: traceparent(&tracing::Span::current()) },
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,6 +1,6 @@
 //! The control thread.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::thread;
 
@@ -32,6 +32,8 @@
     Propose { changes: Vec<Change>, reply: oneshot::Sender<Outcome> },
     /// Asks every dispatcher what it holds.
     Status { reply: oneshot::Sender<Vec<StatusReply>> },
+    /// Doubts what is known of an engine's owner.
+    Doubt { engine: Name },
     /// Takes this process off the list of members.
     Leave { reply: oneshot::Sender<()> },
 }
@@ -52,6 +54,7 @@
     owners: BTreeMap<Name, Name>,
     owners_at: Option<Duration>,
     digests: BTreeMap<Name, Arc<DigestEntry>>,
+    quarantined: BTreeSet<u64>,
     board: watch::Sender<Option<Arc<Board>>>,
 }
 
@@ -68,12 +71,14 @@
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let (platform, links): (Rc<dyn Platform>, Rc<Links>) =
-                match (HttpPlatform::new(process.platform).await, Links::new(&identity)) {
-                    (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
-                    (Err(e), _) => return log::error!("the control thread can't start: {e}"),
-                    (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
-                };
+            let (platform, links): (Rc<dyn Platform>, Rc<Links>) = match (
+                HttpPlatform::new(process.platform).await,
+                Links::new(&identity, process.source),
+            ) {
+                (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
+                (Err(e), _) => return log::error!("the control thread can't start: {e}"),
+                (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
+            };
             let member = Member { host: process.host.clone(), process: gateway_name() };
             let control = Control {
                 clock,
@@ -90,6 +95,7 @@
                 owners: BTreeMap::new(),
                 owners_at: None,
                 digests: BTreeMap::new(),
+                quarantined: BTreeSet::new(),
                 board: tx,
             };
             control.run(rx).await;
@@ -123,10 +129,12 @@
         for digest in self.follower.take_digests() {
             self.on_digest(digest);
         }
+        self.quarantined.extend(self.follower.take_quarantined());
         for silent in self.follower.take_silent() {
             self.digests.retain(|_, digest| digest.owner != silent);
         }
-        let board = Board::new(snapshot, &self.owners, &self.digests);
+        let quarantined = self.quarantined.clone();
+        let board = Board::new(snapshot, &self.owners, &self.digests, quarantined);
         // Traffic threads that have ended need no board.
         let _ = self.board.send(Some(Arc::new(board)));
     }
@@ -135,6 +143,9 @@
         match request {
             Request::Propose { changes, reply } => self.propose(changes, reply),
             Request::Status { reply } => self.status(reply),
+            Request::Doubt { engine } => {
+                self.digests.remove(&engine);
+            }
             Request::Leave { reply } => {
                 self.follower.leave().await;
                 // The process may have stopped waiting.
--- a/crates/gateway/src/deliver.rs
+++ b/crates/gateway/src/deliver.rs
@@ -52,7 +52,8 @@
         loop {
             match events.next().await {
                 Some(Ok(RunEvent::Data(data))) => body.extend_from_slice(&data),
-                Some(Ok(RunEvent::Head { .. })) => {}
+                // The run was started again from the beginning.
+                Some(Ok(RunEvent::Head { .. })) => body.clear(),
                 Some(Ok(RunEvent::Done)) => break,
                 Some(Ok(RunEvent::Refused(refusal)) | Err(refusal)) => return Err(refusal),
                 None => return Err(ended_early()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod once;
 mod operator;
 mod prelude;
+mod quarantine;
 mod respond;
 mod server;
 mod service;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' side of the gateway.
 
-use guavaspread_config::Outcome;
+use guavaspread_config::{Head, Outcome};
+use guavaspread_control::HEAD_KEY;
 use guavaspread_model::{Change, KeyHash};
 use guavaspread_query::{Statement, Table, parse};
 use guavaspread_wire::StatusReply;
@@ -17,6 +18,7 @@
 use crate::tables;
 use crate::worker::Worker;
 
+const PROPOSALS_MAX: u32 = 5;
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
 #[derive(Serialize)]
@@ -100,6 +102,8 @@
             query.select(table).map(QueryReply::Table).map_err(bad)
         }
         Statement::DryRun(changes) => {
+            catch_up(worker).await;
+            let board = worker.board()?;
             check_hosts(&board, &changes)?;
             let mut config = Config::clone(&*config(&board)?);
             let revision = config.revision;
@@ -165,7 +169,23 @@
     }
 }
 
+/// Proposes changes, again if this gateway was behind when it checked them.
 async fn propose(worker: &Worker, changes: Vec<Change>) -> Outcome {
+    for _ in 0..PROPOSALS_MAX {
+        catch_up(worker).await;
+        let base = worker.board().map_or(0, |board| board.snapshot.revision());
+        let outcome = propose_once(worker, changes.clone()).await;
+        let behind = matches!(&outcome, Outcome::Rejected(r) if r.code == Code::ChangeConflict);
+        if !behind {
+            return outcome;
+        }
+        wait_in_force(worker, base + 1).await;
+    }
+    let detail = "other changes kept coming first";
+    Outcome::Rejected(Refusal::not_run(Code::ChangeConflict, detail).retry_after_ms(1_000))
+}
+
+async fn propose_once(worker: &Worker, changes: Vec<Change>) -> Outcome {
     let (reply, outcome) = oneshot::channel();
     let gone = || Refusal::not_run(Code::Stopping, "the gateway is stopping");
     if worker.control.requests.send(Request::Propose { changes, reply }).is_err() {
@@ -179,6 +199,15 @@
     outcome
 }
 
+/// Waits until this gateway has applied what the table says is committed.
+async fn catch_up(worker: &Worker) {
+    let row = worker.platform.get(HEAD_KEY).await.ok().flatten();
+    let head = row.and_then(|row| serde_json::from_str::<Head>(&row.value).ok());
+    if let Some(head) = head {
+        wait_in_force(worker, head.committed).await;
+    }
+}
+
 /// Waits until this gateway has applied a revision, so that its operator's next request sees it.
 async fn wait_in_force(worker: &Worker, revision: u64) {
     let mut board = worker.control.board.clone();
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use guavaspread_control::Links;
+use guavaspread_control::{Links, Stop};
 use guavaspread_placement::{DemandMap, EngineKey, RetryBudget, Route, Router};
 use guavaspread_platform::{GroupCommit, HttpPlatform, Platform};
 use guavaspread_settings::GatewaySettings;
@@ -11,9 +11,10 @@
 use slotmap::SecondaryMap;
 
 use crate::board::{Board, with_digest};
-use crate::control::ControlHandle;
+use crate::control::{ControlHandle, Request};
 use crate::metrics::Metrics;
 use crate::prelude::*;
+use crate::quarantine::Quarantine;
 use crate::service::Services;
 
 const DEMAND_ENTRIES_MAX: usize = 16_384;
@@ -41,6 +42,7 @@
     pub(crate) incarnation: u64,
     pub(crate) control: ControlHandle,
     pub(crate) metrics: Metrics,
+    pub(crate) stop: Stop,
 }
 
 /// Holds what one traffic thread needs.
@@ -54,37 +56,41 @@
     pub(crate) platform: Rc<dyn Platform>,
     pub(crate) claims: Rc<GroupCommit>,
     pub(crate) services: Services,
+    pub(crate) quarantine: Quarantine,
     router: RefCell<Router>,
     known: RefCell<SecondaryMap<EngineKey, Known>>,
     seen: RefCell<Option<Arc<Board>>>,
     demand: RefCell<DemandMap<AdapterVersion>>,
     retries: RefCell<RetryBudget>,
     under_way: Cell<usize>,
+    stop: Stop,
 }
 
 impl Worker {
     pub(crate) async fn new(parts: WorkerParts, identity: &Identity) -> eyre::Result<Rc<Self>> {
-        let WorkerParts { cfg, clock, incarnation, control, metrics } = parts;
+        let WorkerParts { cfg, clock, incarnation, control, metrics, stop } = parts;
         let policy = cfg.policy();
         let demand = DemandMap::new(policy.demand_half_life(), DEMAND_ENTRIES_MAX);
         let retries = RetryBudget::new(cfg.limits.retry_share, RETRY_BURST);
         let platform: Rc<dyn Platform> = Rc::new(HttpPlatform::new(cfg.process.platform).await?);
         Ok(Rc::new(Worker {
+            links: Links::new(identity, cfg.process.source)?,
             cfg,
             clock,
             incarnation,
             control,
             metrics,
-            links: Links::new(identity)?,
             claims: GroupCommit::new(platform.clone()),
             platform,
             services: Services::default(),
+            quarantine: Quarantine::default(),
             router: RefCell::new(Router::new(policy)),
             known: RefCell::default(),
             seen: RefCell::default(),
             demand: RefCell::new(demand),
             retries: RefCell::new(retries),
             under_way: Cell::new(0),
+            stop,
         }))
     }
 
@@ -100,6 +106,16 @@
         Ok(board)
     }
 
+    /// Tells whether requests are taken and can be routed.
+    pub(crate) fn is_ready(&self) -> bool {
+        let Ok(board) = self.board() else {
+            return false;
+        };
+        let mut engines = board.engines.iter();
+        let routable = board.engines.is_empty() || engines.any(|engine| engine.open);
+        routable && board.snapshot.view.config.is_some() && !self.stop.is_asked()
+    }
+
     /// Counts a request and returns the decayed count for its adapter.
     pub(crate) fn count_demand(&self, adapter: &AdapterVersion) -> f64 {
         let now = self.clock.now();
@@ -110,6 +126,8 @@
 
     /// Chooses an engine, leaving out those tried before.
     pub(crate) fn route(&self, adapter: &AdapterVersion, tried: &[EngineKey]) -> Option<Chosen> {
+        // A request that waits for an engine has to see what is new.
+        self.board().ok()?;
         let route = self.router.borrow_mut().route(adapter, tried, self.clock.now());
         let key = match route {
             Route::Hit(key) | Route::Load(key) => key,
@@ -138,8 +156,11 @@
         self.router.borrow_mut().on_finished(key);
     }
 
-    pub(crate) fn on_attempt_failed(&self, key: EngineKey) {
-        self.router.borrow_mut().on_failed(key, self.clock.now());
+    pub(crate) fn on_attempt_failed(&self, chosen: &Chosen) {
+        self.router.borrow_mut().on_failed(chosen.key, self.clock.now());
+        let engine = chosen.host.clone();
+        // A control thread that has ended learns nothing more.
+        let _ = self.control.requests.send(Request::Doubt { engine });
     }
 
     pub(crate) fn on_first_attempt(&self) {
@@ -156,6 +177,10 @@
 
     /// Admits a request until the guard is dropped, unless too many are under way.
     pub(crate) fn admit(self: &Rc<Self>) -> Result<Admission, Refusal> {
+        if self.stop.is_asked() {
+            let refusal = Refusal::not_run(Code::Stopping, "the gateway is stopping");
+            return Err(refusal.retry_after_ms(500));
+        }
         let limit = self.cfg.limits.requests_max.div_ceil(self.cfg.threads);
         if self.under_way.get() >= limit {
             let refusal = Refusal::not_run(Code::Overloaded, "too many requests are under way");
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -85,6 +85,8 @@
     DeadlinePassed = 1403, 504, "the deadline passed while the request ran";
     /// The content crashed backend servers and is not run again.
     Quarantined = 1404, 422, "this content crashed backend servers and is not run again";
+    /// The backend server crashed while it ran the request.
+    BackendCrashed = 1405, 502, "the backend server crashed while it ran the request";
     /// An earlier run of the request may have happened and its outcome is unknown.
     OutcomeUnknown = 1501, 409, "an earlier run may have happened; its outcome is unknown";
     /// The same key came with another request.
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -20,6 +20,8 @@
     pub margin: Duration,
     /// How much longer each lower-ranked candidate waits.
     pub stagger: Duration,
+    /// How long an engine takes to notice that a dead process has left its connections.
+    pub settle: Duration,
     /// The longest deadline that any request may have.
     pub horizon: Duration,
 }
@@ -32,6 +34,7 @@
             watch: Duration::from_millis(2_000),
             margin: Duration::from_millis(300),
             stagger: Duration::from_millis(400),
+            settle: Duration::from_millis(1_000),
             horizon: Duration::from_secs(30),
         }
     }
@@ -111,6 +114,7 @@
     leaving: bool,
     busy: bool,
     gone: Vec<(Name, Duration)>,
+    dead: Vec<(Holder, Duration)>,
 }
 
 impl Lease {
@@ -129,6 +133,7 @@
             leaving: false,
             busy: false,
             gone: Vec::new(),
+            dead: Vec::new(),
         }
     }
 
@@ -221,6 +226,23 @@
         }
     }
 
+    /// Reports that a process is proved dead: its probe address refuses connections.
+    pub fn on_dead(&mut self, holder: &Holder, now: Duration) {
+        if !self.dead.iter().any(|(known, _)| known == holder) {
+            self.dead.push((holder.clone(), now));
+        }
+    }
+
+    /// Lists the other processes whose death would let this one do more.
+    pub fn suspects(&self) -> Vec<Holder> {
+        let Some(seen) = &self.seen else {
+            return Vec::new();
+        };
+        let former = seen.row.former.iter().map(|former| &former.holder);
+        let others = former.chain([&seen.row.holder]).filter(|holder| holder.host != self.me.host);
+        others.filter(|holder| !self.is_dead(holder)).cloned().collect()
+    }
+
     /// Sets the longest deadline that any request may have.
     pub fn set_horizon(&mut self, horizon: Duration) {
         self.times.horizon = horizon;
@@ -283,7 +305,7 @@
         let mut row = seen.row.renewed();
         row.leaving = self.leaving;
         row.evicting = self.wish.clone();
-        row.former.retain(|former| !self.is_spent(&former.holder.host, now));
+        row.former.retain(|former| !self.is_spent(&former.holder, now));
         // A finished eviction is cleared by the next renewal, without a write of its own.
         let changed = row.leaving != seen.row.leaving
             || (self.wish.is_some() && row.evicting != seen.row.evicting)
@@ -326,11 +348,23 @@
         let same_host = seen.row.holder.host == self.me.host;
         let unchanged = now.saturating_sub(seen.since);
         let lapsed = unchanged >= self.times.lease + self.times.margin + patience;
-        same_host || lapsed || (seen.row.leaving && unchanged >= patience)
+        same_host
+            || lapsed
+            || (seen.row.leaving && unchanged >= patience)
+            || self.is_dead(&seen.row.holder)
+    }
+
+    /// Tells whether nothing that a former owner sent can be under way any more.
+    fn is_spent(&self, holder: &Holder, now: Duration) -> bool {
+        let over = |since: Duration, time: Duration| now >= since + time;
+        let gone = self.gone.iter().find(|(host, _)| *host == holder.host);
+        let dead = self.dead.iter().find(|(dead, _)| dead == holder);
+        gone.is_some_and(|(_, since)| over(*since, self.times.horizon))
+            || dead.is_some_and(|(_, since)| over(*since, self.times.settle))
     }
 
-    fn is_spent(&self, host: &Name, now: Duration) -> bool {
-        self.gone.iter().any(|(gone, since)| gone == host && now >= *since + self.times.horizon)
+    fn is_dead(&self, holder: &Holder) -> bool {
+        self.dead.iter().any(|(dead, _)| dead == holder)
     }
 }
 
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -24,7 +24,9 @@
 //! keeps that adapter off the engine, and unloads nothing. A former owner strikes
 //! itself off once everything that it sent to the engine has ended, however long
 //! it was paused; a new process on the same host strikes off the old one, which
-//! must be dead because the address is free. A host that the platform no longer
+//! must be dead because the address is free. A process whose probe address refuses
+//! connections is dead, because it listens there from before it owns anything until
+//! it ends; a paused process does not refuse, since its host's kernel accepts. A host that the platform no longer
 //! lists is struck off once every deadline that it could have accepted has passed.
 
 mod lease;
--- a/crates/ownership/src/row.rs
+++ b/crates/ownership/src/row.rs
@@ -1,5 +1,7 @@
 //! The row that says who owns an engine.
 
+use std::net::SocketAddr;
+
 use guavaspread_model::{AdapterVersion, Name};
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +13,8 @@
     pub host: Name,
     /// Differs between two processes on the same host.
     pub incarnation: u64,
+    /// Where the process listens over TCP from before it owns anything until it ends.
+    pub probe: SocketAddr,
 }
 
 /// Records an owner that may still have orders or requests on the way.
--- a/crates/ownership/tests/interleavings.rs
+++ b/crates/ownership/tests/interleavings.rs
@@ -34,6 +34,8 @@
     Barring,
     /// A former owner strikes itself off with requests under way.
     Busy,
+    /// A process counts as dead because it does not answer.
+    Proof,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -56,14 +58,41 @@
     Load(usize, usize),
     Release(usize),
     Replace(usize),
+    /// Kills a process for good; its probe address refuses connections from then on.
+    Kill(usize),
+    /// Probes every suspect of a process.
+    Probe(usize),
     /// What a control thread does in one round without a pause.
     Round(usize),
     /// Asks for an eviction and gets the answer without a pause.
     Evict(usize, usize),
 }
 
+impl Op {
+    /// Returns the process that has to be alive for this.
+    fn process(&self) -> Option<usize> {
+        match *self {
+            Op::Advance(_) | Op::Replace(_) => None,
+            Op::Step(p, _)
+            | Op::Show(p)
+            | Op::Start(p, _)
+            | Op::End(p)
+            | Op::Wish(p, _)
+            | Op::Grant(p)
+            | Op::Send(p)
+            | Op::Load(p, _)
+            | Op::Release(p)
+            | Op::Kill(p)
+            | Op::Probe(p)
+            | Op::Round(p)
+            | Op::Evict(p, _) => Some(p),
+        }
+    }
+}
+
 struct Process {
     lease: Lease,
+    alive: bool,
     incarnation: u64,
     /// What traffic was shown last.
     view: Option<Right>,
@@ -87,13 +116,22 @@
 }
 
 fn holder(index: usize, incarnation: u64) -> Holder {
-    Holder { host: Name::new(&format!("host-{index}")).unwrap(), incarnation }
+    let host = Name::new(&format!("host-{index}")).unwrap();
+    Holder { host, incarnation, probe: ([127, 0, 0, 1], 7_000).into() }
 }
 
 impl Process {
     fn new(index: usize, incarnation: u64) -> Self {
         let lease = Lease::new(holder(index, incarnation), LeaseTimes::default());
-        Process { lease, incarnation, view: None, runs: vec![], evicting: None, order: None }
+        Process {
+            lease,
+            alive: true,
+            incarnation,
+            view: None,
+            runs: vec![],
+            evicting: None,
+            order: None,
+        }
     }
 
     fn is_barred(&self, index: usize) -> bool {
@@ -115,6 +153,9 @@
     }
 
     fn apply(&mut self, op: &Op) {
+        if op.process().is_some_and(|p| !self.processes[p].alive) {
+            return;
+        }
         match *op {
             Op::Advance(ms) => self.now += Duration::from_millis(ms),
             Op::Step(p, fate) => self.step(p, fate),
@@ -127,6 +168,8 @@
             Op::Load(p, a) => self.load(p, a),
             Op::Release(p) => self.release(p),
             Op::Replace(p) => self.replace(p),
+            Op::Kill(p) => self.kill(p),
+            Op::Probe(p) => self.probe(p),
             Op::Round(p) => {
                 self.step(p, Fate::Answered);
                 self.step(p, Fate::Answered);
@@ -247,6 +290,23 @@
         }
     }
 
+    fn kill(&mut self, p: usize) {
+        while !self.processes[p].runs.is_empty() {
+            self.end(p);
+        }
+        self.processes[p].alive = false;
+    }
+
+    fn probe(&mut self, p: usize) {
+        for suspect in self.processes[p].lease.suspects() {
+            let mut alive = self.processes.iter().enumerate().filter(|(_, other)| other.alive);
+            let found = alive.any(|(index, other)| holder(index, other.incarnation) == suspect);
+            if !found || self.without == Without::Proof {
+                self.processes[p].lease.on_dead(&suspect, self.now);
+            }
+        }
+    }
+
     /// Kills a process, which cancels what it runs, and starts another on its host.
     fn replace(&mut self, p: usize) {
         while !self.processes[p].runs.is_empty() {
@@ -277,7 +337,9 @@
         10 => p.clone().prop_map(Op::Round),
         4 => (p.clone(), a).prop_map(|(p, a)| Op::Evict(p, a)),
         3 => p.clone().prop_map(Op::Release),
-        1 => p.prop_map(Op::Replace),
+        1 => p.clone().prop_map(Op::Kill),
+        3 => p.clone().prop_map(Op::Probe),
+        2 => p.prop_map(Op::Replace),
     ]
 }
 
@@ -312,6 +374,7 @@
 #[test_case(Without::FormerOwners)]
 #[test_case(Without::Barring)]
 #[test_case(Without::Busy)]
+#[test_case(Without::Proof)]
 fn search_finds_a_violation(without: Without) {
     assert!(search(without).is_some(), "nothing found without {without:?}");
 }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -18,6 +18,7 @@
 const DEMAND_ENTRIES_MAX: usize = 16_384;
 const LOAD_BACKOFF: Duration = Duration::from_millis(500);
 const LOAD_BACKOFF_MAX: Duration = Duration::from_secs(30);
+const STUCK_GRACE: Duration = Duration::from_secs(1);
 const LOAD_ATTEMPTS_MAX: u32 = 2;
 /// The weight of the last load in the smoothed load time.
 const LOAD_TIME_SMOOTHING: f64 = 0.2;
@@ -40,6 +41,8 @@
     pub worth: u32,
     /// Which work goes first.
     pub priority: Priority,
+    /// Whether nothing else may run beside it, because it may crash the engine.
+    pub alone: bool,
 }
 
 /// Bounds one engine.
@@ -98,12 +101,14 @@
     entries: SlotMap<TicketKey, Entry>,
     waiting: Vec<TicketKey>,
     running: usize,
+    runs_alone: bool,
     slots: Vec<Slot>,
     demand: DemandMap<AdapterVersion>,
     failures: HashMap<AdapterVersion, LoadFailures>,
     barred: BTreeSet<AdapterVersion>,
     pinned: BTreeSet<AdapterVersion>,
-    may_evict: bool,
+    /// Since when unload orders may not be given.
+    stuck_since: Option<Duration>,
     load_time: f64,
     stalls: u64,
 }
@@ -118,12 +123,13 @@
             entries: SlotMap::with_key(),
             waiting: Vec::new(),
             running: 0,
+            runs_alone: false,
             slots: Vec::new(),
             demand,
             failures: HashMap::new(),
             barred: BTreeSet::new(),
             pinned: BTreeSet::new(),
-            may_evict: true,
+            stuck_since: None,
             load_time: limits.load_time.as_secs_f64(),
             stalls: 0,
         }
@@ -178,6 +184,11 @@
         self.load_time += LOAD_TIME_SMOOTHING * (took.as_secs_f64() - self.load_time);
     }
 
+    /// Reports that the engine had no slot free, which says nothing about the adapter.
+    pub fn on_no_slot(&mut self, adapter: &AdapterVersion) {
+        self.slots.retain(|slot| slot.adapter != *adapter || slot.state != SlotState::Loading);
+    }
+
     /// Reports that the engine answered an unload order.
     ///
     /// `gone` is false when the adapter may still be there.
@@ -236,8 +247,11 @@
     }
 
     /// Sets whether unload orders may be given.
-    pub fn set_may_evict(&mut self, may_evict: bool) {
-        self.may_evict = may_evict;
+    pub fn set_may_evict(&mut self, may_evict: bool, now: Duration) {
+        self.stuck_since = match may_evict {
+            true => None,
+            false => self.stuck_since.or(Some(now)),
+        };
     }
 
     /// Keeps adapters off this engine, because a former owner may still unload them.
@@ -307,9 +321,12 @@
         let entry = self.entries.remove(key)?;
         let adapter = &entry.ticket.adapter;
         let attempts = self.failures.get(adapter).map_or(0, |failures| failures.count);
-        let refusal = match attempts >= LOAD_ATTEMPTS_MAX {
-            true => Refusal::not_run(Code::LoadFailed, format!("{adapter} could not be loaded")),
-            false => Refusal::not_run(Code::DeadlineUnreachable, "its turn would come too late"),
+        let refusal = if attempts >= LOAD_ATTEMPTS_MAX {
+            Refusal::not_run(Code::LoadFailed, format!("{adapter} could not be loaded"))
+        } else if self.is_stuck(now) && self.slot_index(adapter).is_none() {
+            Refusal::not_run(Code::NoBackend, "no slot can be freed for the adapter here now")
+        } else {
+            Refusal::not_run(Code::DeadlineUnreachable, "its turn would come too late")
         };
         let wait_ms = self.expected_wait().as_millis() as u32;
         Some(Next::Refuse(key, refusal.retry_after_ms(wait_ms.max(100))))
@@ -326,12 +343,22 @@
         if needs_load && failures.count >= LOAD_ATTEMPTS_MAX && now < failures.retry_at {
             return true;
         }
+        if needs_load && self.is_stuck(now) {
+            return true;
+        }
         let ahead = if needs_load { self.load_time_estimate() } else { Duration::ZERO };
         now + ahead >= entry.ticket.deadline
     }
 
+    /// Tells whether every slot is taken and none may be freed, for longer than it takes an
+    /// engine to change hands.
+    fn is_stuck(&self, now: Duration) -> bool {
+        self.slots.len() >= self.limits.slots
+            && self.stuck_since.is_some_and(|since| now >= since + STUCK_GRACE)
+    }
+
     fn next_start(&mut self, now: Duration) -> Option<Next> {
-        if self.running >= self.limits.batch {
+        if self.running >= self.limits.batch || self.runs_alone {
             return None;
         }
         let startable = self.waiting.iter().enumerate().filter(|(_, key)| {
@@ -339,7 +366,12 @@
         });
         let scored = startable.map(|(position, key)| (position, self.score(*key, now)));
         let (position, _) = scored.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let alone = self.entries.get(self.waiting[position])?.ticket.alone;
+        if alone && self.running > 0 {
+            return None;
+        }
         let key = self.waiting.remove(position);
+        self.runs_alone = alone;
         let entry = self.entries.get_mut(key)?;
         entry.phase = Phase::Running;
         let adapter = entry.ticket.adapter.clone();
@@ -361,7 +393,7 @@
             return Some(Next::Load(adapter));
         }
         let evicting = self.slots.iter().any(|slot| slot.state == SlotState::Evicting);
-        if evicting || !self.may_evict {
+        if evicting || self.stuck_since.is_some() {
             return None;
         }
         let (index, _) = self.victim(now)?;
@@ -438,6 +470,7 @@
 
     fn leave_batch(&mut self, adapter: &AdapterVersion) {
         self.running = self.running.saturating_sub(1);
+        self.runs_alone &= self.running > 0;
         if let Some(index) = self.slot_index(adapter) {
             self.slots[index].running = self.slots[index].running.saturating_sub(1);
         }
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A deployment of real processes and stand-ins.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -17,6 +17,7 @@
 
 use crate::caller::Caller;
 use crate::ports::{any_address, free_address};
+use crate::relay::{Cuts, relay_tcp, relay_udp};
 
 const OPERATOR_KEY: &str = "operator-key-of-a-test";
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -87,6 +88,8 @@
     pub hosts: Vec<Host>,
     /// The entry hosts by name.
     pub entry_hosts: BTreeMap<Name, EntryHost>,
+    /// What is cut off from what.
+    pub cuts: Cuts,
     _dir: TempDir,
 }
 
@@ -124,6 +127,7 @@
             booking: BookingStandIn::default(),
             hosts: Vec::new(),
             entry_hosts: BTreeMap::new(),
+            cuts: Cuts::default(),
             _dir: dir,
         };
         for zone in &spec.zones {
@@ -289,6 +293,23 @@
         name.cloned().ok_or_else(|| eyre!("there is no entry host {index}"))
     }
 
+    /// Takes a host off the platform's list.
+    pub fn unlist(&mut self, host: &Name) {
+        self.hosts.retain(|listed| listed.name != *host);
+        self.platform.set_hosts(self.hosts.clone());
+    }
+
+    /// Finds the entry host that owns an engine, as the table has it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nobody owns it.
+    pub fn owner(&self, engine: &Name) -> Result<Name> {
+        let row = self.platform.value(&format!("owner/{engine}"));
+        let row: Value = serde_json::from_str(&row.ok_or_else(|| eyre!("no owner"))?)?;
+        Ok(Name::new(row["holder"]["host"].as_str().unwrap_or(""))?)
+    }
+
     /// Changes a host's state in the platform's list.
     pub fn set_host_state(&mut self, host: &Name, state: HostState) {
         for listed in self.hosts.iter_mut().filter(|listed| listed.name == *host) {
@@ -333,7 +354,9 @@
         std::fs::write(dir.join(format!("{name}.pem")), pem.certificate)?;
         std::fs::write(dir.join(format!("{name}.key")), pem.key)?;
         let (gateway, dispatcher, http) = (free_address()?, free_address()?, free_address()?);
-        let common = common_settings(&dir, name, zone, spec, platform);
+        let source = self.cuts.zone_source(zone);
+        let platform = relay_tcp(platform, zone.clone(), self.cuts.clone())?;
+        let common = common_settings(&dir, name, zone, spec, platform, source);
         let gateway_settings = dir.join(format!("{name}-gateway.toml"));
         let operator = KeyHash::of(OPERATOR_KEY);
         let text = format!("listen = \"{gateway}\"\noperator-keys = [\"{operator}\"]\n{common}");
@@ -341,7 +364,8 @@
         let dispatcher_settings = dir.join(format!("{name}-dispatcher.toml"));
         let text = format!("listen = \"{dispatcher}\"\nmetrics = \"{http}\"\n{common}");
         std::fs::write(&dispatcher_settings, text)?;
-        self.list(name, zone.clone(), HostKind::EntryHost, dispatcher)?;
+        let relayed = relay_udp(dispatcher, zone.clone(), self.cuts.clone())?;
+        self.list(name, zone.clone(), HostKind::EntryHost, relayed)?;
         let entry_host = EntryHost {
             zone: zone.clone(),
             gateway,
@@ -386,9 +410,12 @@
     zone: &Name,
     spec: &FleetSpec,
     platform: SocketAddr,
+    source: Ipv4Addr,
 ) -> String {
     let dir = dir.display();
     let slots = spec.engine.slots;
+    let loads = slots.min(2);
+    let check_fences = spec.engine.check_fences;
     let log = spec.log;
     format!(
         r#"
@@ -396,6 +423,7 @@
 host = "{name}"
 zone = "{zone}"
 platform = "{platform}"
+source = "{source}"
 
 [tls]
 authority = "{dir}/authority.pem"
@@ -404,6 +432,8 @@
 
 [engine]
 slots = {slots}
+loads = {loads}
+check-fences = {check_fences}
 
 [log]
 level = "{log}"
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The settings of the gateway and the dispatcher.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use guavaspread_model::{KeyHash, Name};
@@ -21,6 +21,9 @@
     pub zone: Name,
     /// The address of the platform's services.
     pub platform: SocketAddr,
+    /// The address that connections to other processes start from.
+    #[serde(default = "default_source")]
+    pub source: IpAddr,
 }
 
 /// Names the files that hold the process's identity.
@@ -187,6 +190,10 @@
     pub trace: TraceSettings,
 }
 
+fn default_source() -> IpAddr {
+    IpAddr::V4(Ipv4Addr::UNSPECIFIED)
+}
+
 fn default_threads() -> usize {
     2
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -41,6 +41,8 @@
     pub priority: Priority,
     /// Whether the request may run again.
     pub repeatable: bool,
+    /// Whether nothing else may run beside it, because it may crash the engine.
+    pub alone: bool,
     /// How many events the caller has had; the answer starts behind them.
     pub events_seen: u32,
     /// The revision of the configuration that allowed the run.
@@ -61,6 +63,8 @@
     Exchange,
     /// Tells of a head row that was just written; answered by a `bool`.
     Head(SeenHead),
+    /// Tells of content that crashes engines; answered by a `bool`.
+    Quarantine(u64),
     /// Writes a member's acknowledgement to the table, together with others; answered by a
     /// `bool` that tells whether it stands there.
     Acknowledge(Acknowledgement),
@@ -161,6 +165,8 @@
 pub struct ExchangeReply {
     /// The head row, if the peer knows it.
     pub head: Option<SeenHead>,
+    /// Hashes of content that crashes engines, the newest last.
+    pub quarantined: Vec<u64>,
     /// What the peer says of the backend servers that it owns.
     pub digests: Vec<DigestEntry>,
 }
