--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 //! | choose an engine for a request | [`Router`], [`Route`] |
 //! | weigh stalls against full batches | [`Policy`], [`Preset`] |
 //! | follow demand | [`Demand`] |
+//! | value slots otherwise | [`Keeper`] |
 //! | bound retries | [`RetryBudget`] |
 //!
 //! Times are durations since any fixed moment, the same for all calls to a value.
@@ -27,4 +28,4 @@
 pub use queue::{EngineQueue, Next, QueueLimits, Ticket, TicketKey};
 pub use retry::RetryBudget;
 pub use route::{EngineKey, EngineView, Route, Router, adapter_hash};
-pub use slot::{Slot, SlotState};
+pub use slot::{ByDemand, Keeper, Slot, SlotState};
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -31,6 +31,8 @@
     pub ageing_ms: u32,
     /// How many engines of the rendezvous order a request may be placed on.
     pub choices: usize,
+    /// How many displaced requests count as the same in choosing an engine for a load.
+    pub cost_step: f64,
     /// The load, as a share of an engine's batch, from which an adapter is given another replica.
     pub replicate_load: f64,
     /// What a request counts for in choosing an engine when it has to cross zones, in requests.
@@ -71,13 +73,14 @@
 impl Default for Policy {
     fn default() -> Self {
         Policy {
-            demand_half_life_ms: 120_000,
+            demand_half_life_ms: 400_000,
             interactive_weight: 16.0,
             draft_weight: 2.0,
             overnight_weight: 1.0,
             ageing_ms: 5_000,
-            choices: 3,
-            replicate_load: 0.75,
+            choices: 16,
+            cost_step: 1.0,
+            replicate_load: 1.0,
             zone_cost: 1.0,
         }
     }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -13,7 +13,7 @@
 
 use crate::demand::DemandMap;
 use crate::policy::Policy;
-use crate::slot::{Slot, SlotState};
+use crate::slot::{ByDemand, Keeper, Slot, SlotState};
 
 const DEMAND_ENTRIES_MAX: usize = 16_384;
 const LOAD_BACKOFF: Duration = Duration::from_millis(500);
@@ -111,6 +111,7 @@
     stuck_since: Option<Duration>,
     load_time: f64,
     stalls: u64,
+    keeper: Box<dyn Keeper>,
 }
 
 impl EngineQueue {
@@ -132,9 +133,16 @@
             stuck_since: None,
             load_time: limits.load_time.as_secs_f64(),
             stalls: 0,
+            keeper: Box::new(ByDemand),
         }
     }
 
+    /// Replaces how slots are valued, for comparison with other policies.
+    pub fn with_keeper(mut self, keeper: Box<dyn Keeper>) -> Self {
+        self.keeper = keeper;
+        self
+    }
+
     /// Puts a request into the queue.
     ///
     /// # Errors
@@ -307,7 +315,9 @@
         self.entries.get(key).is_some_and(|entry| entry.stalled)
     }
 
-    /// Returns the demand of the adapter that would go next, 0 while a slot is free.
+    /// Returns the value of the slot that would be given up next, 0 while a slot is free.
+    ///
+    /// By default that is the demand for its adapter, in requests a second.
     pub fn coldest(&self, now: Duration) -> f64 {
         if self.slots.len() < self.limits.slots {
             return 0.0;
@@ -432,9 +442,11 @@
             .iter()
             .enumerate()
             .filter(|(_, slot)| slot.is_evictable() && !self.is_wanted(&slot.adapter));
-        let demands = evictable
-            .map(|(index, slot)| (index, self.demand.rate(&slot.adapter, now), slot.used_at));
-        let coldest = demands.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
+        let values = evictable.map(|(index, slot)| {
+            let demand = self.demand.rate(&slot.adapter, now);
+            (index, self.keeper.value(slot, demand, now), slot.used_at)
+        });
+        let coldest = values.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
         Some((coldest.0, coldest.1))
     }
 
--- a/crates/placement/src/route.rs
+++ b/crates/placement/src/route.rs
@@ -220,17 +220,23 @@
         (self.cost(other) <= self.cost(crowded) / 2.0).then_some(other)
     }
 
-    /// Finds the engine, of the first few with room, whose next eviction costs least.
+    /// Finds the engine with room whose next eviction costs least; of those that cost about as
+    /// little, the first in the adapter's rendezvous order, so that gateways that know of
+    /// different moments agree, and an adapter comes back to where its demand is known.
     fn cheapest(&self, order: &[EngineKey]) -> Option<EngineKey> {
         let roomy = order.iter().copied().filter(|key| !self.is_crowded(*key));
         let mut choices: Vec<EngineKey> = roomy.take(self.policy.choices).collect();
         if choices.is_empty() {
             choices = order.iter().copied().take(self.policy.choices).collect();
         }
-        let coldest = |key: &EngineKey| self.engines.get(*key).map_or(0.0, |e| e.view.coldest);
-        choices.into_iter().min_by(|a, b| {
-            coldest(a).total_cmp(&coldest(b)).then(self.cost(*a).total_cmp(&self.cost(*b)))
-        })
+        choices.into_iter().min_by_key(|key| self.eviction_cost(*key))
+    }
+
+    /// Returns the requests of one half-life that the next eviction would displace, in steps.
+    fn eviction_cost(&self, key: EngineKey) -> u64 {
+        let coldest = self.engines.get(key).map_or(f64::INFINITY, |engine| engine.view.coldest);
+        let per_half_life = self.policy.demand_half_life().as_secs_f64() / std::f64::consts::LN_2;
+        (coldest * per_half_life / self.policy.cost_step).floor().min(1e9) as u64
     }
 
     fn place(&mut self, hash: u32, key: EngineKey, now: Duration) -> Route {
--- a/crates/placement/src/slot.rs
+++ b/crates/placement/src/slot.rs
@@ -36,3 +36,19 @@
         self.state == SlotState::Ready && self.running == 0 && !self.pinned
     }
 }
+
+/// Values what a slot holds; the slot of the least value is given up first.
+pub trait Keeper {
+    /// Returns the value of a slot whose adapter has this demand, in requests a second.
+    fn value(&self, slot: &Slot, demand: f64, now: Duration) -> f64;
+}
+
+/// Values a slot by the demand for its adapter.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ByDemand;
+
+impl Keeper for ByDemand {
+    fn value(&self, _slot: &Slot, demand: f64, _now: Duration) -> f64 {
+        demand
+    }
+}
--- /dev/null
+++ b/crates/replay/tests/targets.rs
@@ -0,0 +1,88 @@
+//! The stated targets of the policy, on generated traces of today's sizes.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::thread;
+
+use guavaspread_replay::{Deployment, Outcome, PolicyName, Trace, TraceSpec, replay};
+use test_case::test_case;
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Replays the trace of each seed under each policy; the outcomes of a seed stand together.
+fn outcomes(deployment: Deployment, failures: bool, policies: &[PolicyName]) -> Vec<Vec<Outcome>> {
+    eprintln!("seeds {SEEDS:?}");
+    let traces = SEEDS.map(|seed| {
+        let spec = TraceSpec { failures, ..TraceSpec::today(deployment, seed) };
+        Trace::generate(spec).unwrap()
+    });
+    thread::scope(|scope| {
+        let running: Vec<Vec<_>> = traces
+            .iter()
+            .map(|trace| policies.iter().map(|p| scope.spawn(|| replay(trace, *p))).collect())
+            .collect();
+        let joined =
+            running.into_iter().map(|of_seed: Vec<thread::ScopedJoinHandle<'_, Outcome>>| {
+                of_seed.into_iter().map(|run| run.join().unwrap()).collect()
+            });
+        joined.collect()
+    })
+}
+
+fn worst_stall_ratio(other: PolicyName) -> f64 {
+    let policies = [PolicyName::StallsFirst, other];
+    let ratios = outcomes(Deployment::KitaShigoto, false, &policies);
+    let ratios = ratios.iter().map(|of_seed| of_seed[0].stall_share / of_seed[1].stall_share);
+    ratios.fold(0.0, f64::max)
+}
+
+#[test]
+fn stalls_stay_near_the_clairvoyant_bound() {
+    let ratio = worst_stall_ratio(PolicyName::Clairvoyant);
+    assert!(ratio <= 1.20, "{ratio:.3}");
+}
+
+#[test]
+fn stalls_beat_least_loaded_lru() {
+    let ratio = worst_stall_ratio(PolicyName::LeastLoadedLru);
+    assert!(ratio <= 0.53, "{ratio:.3}");
+}
+
+#[test]
+fn stalls_beat_rendezvous_lru() {
+    let ratio = worst_stall_ratio(PolicyName::RendezvousLru);
+    assert!(ratio <= 0.75, "{ratio:.3}");
+}
+
+#[test]
+fn batches_beat_least_loaded_lru() {
+    let policies = [PolicyName::BatchesFirst, PolicyName::LeastLoadedLru];
+    for of_seed in outcomes(Deployment::DopravniSmeny, false, &policies) {
+        let ratio = of_seed[0].batch_efficiency / of_seed[1].batch_efficiency;
+        assert!(ratio >= 1.3, "{ratio:.3}");
+        assert!(of_seed[0].late <= of_seed[1].late);
+    }
+}
+
+#[test_case(Deployment::KitaShigoto, PolicyName::StallsFirst; "kita shigoto")]
+#[test_case(Deployment::DopravniSmeny, PolicyName::BatchesFirst; "dopravni smeny")]
+fn worth_is_not_below_the_baselines_under_failures(deployment: Deployment, preset: PolicyName) {
+    let policies = [preset, PolicyName::LeastLoadedLru, PolicyName::RendezvousLru];
+    for of_seed in outcomes(deployment, true, &policies) {
+        let worth: Vec<f64> = of_seed.iter().map(|outcome| outcome.worth_share).collect();
+        assert!(worth[0] >= worth[1] && worth[0] >= worth[2], "{worth:?}");
+    }
+}
+
+#[test]
+fn trace_reads_back_as_it_was_written() {
+    let spec =
+        TraceSpec { requests: 50, failures: true, ..TraceSpec::today(Deployment::KitaShigoto, 9) };
+    let trace = Trace::generate(spec).unwrap();
+    let mut text = Vec::new();
+    trace.write(&mut text).unwrap();
+    assert_eq!(Trace::read(text.as_slice()).unwrap(), trace);
+    let broken = String::from_utf8(text).unwrap().replacen("at-ms", "at", 3);
+    let error = Trace::read(broken.as_bytes()).unwrap_err();
+    assert!(error.to_string().starts_with("line 2: "), "{error}");
+}
