--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -44,6 +44,8 @@
     pub member: Member,
     /// Differs between two processes on the same host.
     pub incarnation: u64,
+    /// How often peers are asked.
+    pub peers_interval: Duration,
 }
 
 /// Shows what a daemon knows of its surroundings.
@@ -82,6 +84,7 @@
     hosts: Arc<Vec<Host>>,
     hosts_at: Option<Duration>,
     poll_from: Duration,
+    peers_from: Duration,
     table_up: bool,
     learned: Option<(SeenHead, Duration)>,
     digests: RefCell<Vec<DigestEntry>>,
@@ -101,6 +104,7 @@
             hosts: Arc::new(Vec::new()),
             hosts_at: None,
             poll_from: Duration::ZERO,
+            peers_from: Duration::ZERO,
             table_up: false,
             learned: None,
             digests: RefCell::default(),
@@ -112,7 +116,11 @@
     /// Reads what is new, asks `peers` dispatchers, and acknowledges what is staged.
     pub async fn step(&mut self, peers: usize) {
         self.read_hosts().await;
-        self.ask_peers(peers).await;
+        let now = self.parts.clock.now();
+        if now >= self.peers_from {
+            self.peers_from = now + self.parts.peers_interval;
+            self.ask_peers(peers).await;
+        }
         if let Err(e) = self.follow().await {
             if self.table_up {
                 log::warn!("the configuration can't be followed: {e}");
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -16,6 +16,8 @@
 use crate::prelude::*;
 
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Dispatchers ask only for the head row, of which they are told as well.
+const PEERS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Dispatchers asked in one step.
 const PEERS_PER_STEP: usize = 1;
 const GRANT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -125,6 +127,7 @@
                     clock,
                     member,
                     incarnation,
+                    peers_interval: PEERS_INTERVAL,
                 }),
                 group: GroupCommit::new(platform.clone()),
                 leases: Leases::new(platform, clock, holder),
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -120,6 +120,10 @@
         self.under_way.get() == 0 && self.queue.borrow().waiting() == 0
     }
 
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.queue.borrow().waiting() > 0
+    }
+
     pub(crate) fn running(&self) -> usize {
         self.queue.borrow().running()
     }
--- a/crates/dispatcher/src/office.rs
+++ b/crates/dispatcher/src/office.rs
@@ -111,6 +111,11 @@
         self.metrics.running.set(running as i64);
     }
 
+    /// Tells whether a request waits at some desk.
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.places.borrow().values().any(|place| place.desk.has_waiting())
+    }
+
     pub(crate) fn status(&self) -> StatusReply {
         let state = self.state.borrow();
         let places = self.places.borrow();
--- a/crates/dispatcher/src/server.rs
+++ b/crates/dispatcher/src/server.rs
@@ -15,7 +15,10 @@
 use crate::office::Office;
 use crate::prelude::*;
 
+/// How often waiting requests are looked at.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often everything is looked at while nothing waits.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(200);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 const FAREWELL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long gateways may still find this dispatcher after it asked to be relieved.
@@ -66,7 +69,8 @@
 fn tick(office: Rc<Office>, ready: Arc<AtomicBool>) {
     ntex::rt::spawn(async move {
         loop {
-            ntex::time::sleep(TICK_INTERVAL).await;
+            let interval = if office.has_waiting() { TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
+            ntex::time::sleep(interval).await;
             office.tick();
             ready.store(office.is_ready(), Ordering::Relaxed);
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -23,6 +23,8 @@
 const OWNERS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How often they are read all the same.
 const OWNERS_REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Gateways ask for the state of engines.
+const PEERS_INTERVAL: Duration = Duration::from_millis(250);
 /// Dispatchers asked in one step.
 const PEERS_PER_STEP: usize = 1;
 
@@ -89,6 +91,7 @@
                     clock,
                     member,
                     incarnation,
+                    peers_interval: PEERS_INTERVAL,
                 }),
                 platform,
                 links,
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -241,8 +242,10 @@
 pub struct Config {
     /// The revision of the last change applied.
     pub revision: u64,
-    /// Organisations by name.
-    pub organisations: BTreeMap<Name, Organisation>,
+    /// Organisations by name; a change copies only the one that it touches.
+    pub organisations: BTreeMap<Name, Arc<Organisation>>,
+    /// Which organisation each key acts for.
+    pub key_owners: Arc<BTreeMap<KeyHash, Name>>,
     /// Request classes by name.
     pub classes: BTreeMap<Name, RequestClass>,
     /// Plain services by name.
@@ -254,7 +257,7 @@
 impl Config {
     /// Finds the organisation that a key belongs to.
     pub fn organisation_of(&self, key: &KeyHash) -> Option<&Name> {
-        self.organisations.iter().find(|(_, org)| org.keys.contains(key)).map(|(name, _)| name)
+        self.key_owners.get(key)
     }
 
     /// Finds an adapter if the version is registered.
@@ -292,14 +295,14 @@
             Change::CreateOrganisation { organisation } => self.create_organisation(organisation),
             Change::RemoveOrganisation { organisation } => {
                 let removed = self.organisations.remove(organisation);
-                removed.map(drop).ok_or_else(|| unknown_organisation(organisation))
-            }
-            Change::AddKey { organisation, hash } => {
-                self.organisation_mut(organisation)?.keys.insert(*hash);
+                removed.ok_or_else(|| unknown_organisation(organisation))?;
+                Arc::make_mut(&mut self.key_owners).retain(|_, owner| owner != organisation);
                 Ok(())
             }
+            Change::AddKey { organisation, hash } => self.add_key(organisation, *hash),
             Change::RemoveKey { organisation, hash } => {
                 self.organisation_mut(organisation)?.keys.remove(hash);
+                Arc::make_mut(&mut self.key_owners).remove(hash);
                 Ok(())
             }
             Change::RegisterAdapter { organisation, adapter, base, class } => {
@@ -341,7 +344,16 @@
         if self.organisations.contains_key(organisation) {
             return Err(Error::new(ErrorCode::AlreadyExists, organisation));
         }
-        self.organisations.insert(organisation.clone(), Organisation::default());
+        self.organisations.insert(organisation.clone(), Arc::default());
+        Ok(())
+    }
+
+    fn add_key(&mut self, organisation: &Name, hash: KeyHash) -> Result<()> {
+        if self.key_owners.get(&hash).is_some_and(|owner| owner != organisation) {
+            return Err(Error::new(ErrorCode::AlreadyExists, hash));
+        }
+        self.organisation_mut(organisation)?.keys.insert(hash);
+        Arc::make_mut(&mut self.key_owners).insert(hash, organisation.clone());
         Ok(())
     }
 
@@ -401,7 +413,8 @@
     }
 
     fn organisation_mut(&mut self, organisation: &Name) -> Result<&mut Organisation> {
-        self.organisations.get_mut(organisation).ok_or_else(|| unknown_organisation(organisation))
+        let found = self.organisations.get_mut(organisation).map(Arc::make_mut);
+        found.ok_or_else(|| unknown_organisation(organisation))
     }
 
     fn adapter_mut(&mut self, adapter: &AdapterVersion) -> Result<&mut Adapter> {
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -331,7 +331,10 @@
             && !self.leaving
             && self.may_take_over(seen, rank, now)
         {
-            return commit(seen.row.taken_over(self.me.clone()), Some(seen.revision));
+            let mut row = seen.row.taken_over(self.me.clone());
+            // An order of this process from an earlier ownership may still be on its way.
+            row.evicting = self.wish.clone();
+            return commit(row, Some(seen.revision));
         }
         let stale = self.read_at.is_none_or(|at| now >= at + self.times.watch);
         if stale { Next::Read } else { Next::Nothing }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -22,10 +22,12 @@
 mod retry;
 mod route;
 mod slot;
+mod ticket;
 
 pub use demand::{Demand, DemandMap};
 pub use policy::{Policy, Preset};
-pub use queue::{EngineQueue, Next, QueueLimits, Ticket, TicketKey};
+pub use queue::EngineQueue;
 pub use retry::RetryBudget;
 pub use route::{EngineKey, EngineView, Route, Router, adapter_hash};
 pub use slot::{ByDemand, Keeper, Slot, SlotState};
+pub use ticket::{Next, QueueLimits, Ticket, TicketKey};
--- /dev/null
+++ b/crates/replay/src/decisions.rs
@@ -0,0 +1,130 @@
+//! What single decisions cost as the number of engines, requests and adapters grows.
+
+use std::time::{Duration, Instant};
+
+use guavaspread_model::{AdapterVersion, Change, Config, Name, Priority, Result};
+use guavaspread_placement::{
+    EngineQueue, EngineView, Policy, QueueLimits, Router, Ticket, adapter_hash,
+};
+
+const ROUNDS: u32 = 2_000;
+const CHANGE_ROUNDS: u32 = 5;
+const SLOTS: u32 = 8;
+
+/// Times one kind of decision at one size.
+#[derive(Clone, Debug)]
+pub struct DecisionCost {
+    /// What is decided.
+    pub decision: &'static str,
+    /// The size that it was measured at.
+    pub size: u32,
+    /// The time of one, on average.
+    pub time: Duration,
+}
+
+/// Times routing, queueing and applying a change at several sizes.
+///
+/// # Errors
+///
+/// Fails when a name can't be made.
+pub fn decision_costs() -> Result<Vec<DecisionCost>> {
+    let mut costs = Vec::new();
+    for engines in [10, 100, 1_000] {
+        let (decision, time) = ("route among engines", route(engines)?);
+        costs.push(DecisionCost { decision, size: engines, time });
+    }
+    for waiting in [10, 100, 500] {
+        let (decision, time) = ("queue behind requests", queue(waiting)?);
+        costs.push(DecisionCost { decision, size: waiting, time });
+    }
+    for adapters in [3_000, 35_000, 140_000] {
+        let (decision, time) = ("apply a change to adapters", change(adapters)?);
+        costs.push(DecisionCost { decision, size: adapters, time });
+    }
+    Ok(costs)
+}
+
+fn adapter(index: u32) -> Result<AdapterVersion> {
+    format!("office-{}/adapter-{index}@1", index % 300).parse()
+}
+
+fn route(engines: u32) -> Result<Duration> {
+    let mut router = Router::new(Policy::default());
+    for engine in 0..engines {
+        let loaded =
+            (0..SLOTS).map(|slot| adapter(engine * SLOTS + slot).map(|a| adapter_hash(&a)));
+        router.insert(EngineView {
+            host: Some(Name::new(&format!("engine-{engine}"))?),
+            open: true,
+            batch: 32,
+            coldest: f64::from(engine % 7) / 100.0,
+            loaded: loaded.collect::<Result<_>>()?,
+            ..EngineView::default()
+        });
+    }
+    let adapters: Vec<AdapterVersion> = (0..ROUNDS).map(adapter).collect::<Result<_>>()?;
+    let started = Instant::now();
+    for (index, adapter) in adapters.iter().enumerate() {
+        router.route(adapter, &[], Duration::from_millis(index as u64));
+    }
+    Ok(started.elapsed() / ROUNDS)
+}
+
+fn queue(waiting: u32) -> Result<Duration> {
+    let limits = QueueLimits {
+        slots: SLOTS as usize,
+        batch: 32,
+        waiting: 1_000,
+        loads: 2,
+        load_time: Duration::from_millis(250),
+    };
+    let mut queue = EngineQueue::new(limits, Policy::default());
+    let ticket = |index: u32| -> Result<Ticket> {
+        Ok(Ticket {
+            adapter: adapter(index % 20)?,
+            arrived: Duration::ZERO,
+            deadline: Duration::from_secs(600),
+            worth: 10,
+            priority: Priority::Interactive,
+            alone: false,
+        })
+    };
+    let now = Duration::from_secs(1);
+    for index in 0..waiting {
+        // The queue is large enough for all of them.
+        let _ = queue.submit(ticket(index)?, now);
+    }
+    let started = Instant::now();
+    for index in 0..ROUNDS {
+        if let Ok(key) = queue.submit(ticket(index)?, now) {
+            queue.next(now);
+            queue.on_finished(key);
+        }
+    }
+    Ok(started.elapsed() / ROUNDS)
+}
+
+fn change(adapters: u32) -> Result<Duration> {
+    let mut config = Config::default();
+    for office in 0..300 {
+        let organisation = Name::new(&format!("office-{office}"))?;
+        config.apply(&Change::CreateOrganisation { organisation })?;
+    }
+    for index in 0..adapters {
+        let full = adapter(index)?;
+        config.apply(&Change::RegisterAdapter {
+            organisation: full.organisation().clone(),
+            adapter: full.adapter().clone(),
+            base: Name::new("base")?,
+            class: None,
+        })?;
+        config.apply(&Change::RegisterVersion { adapter: full })?;
+    }
+    let started = Instant::now();
+    for round in 0..CHANGE_ROUNDS {
+        let organisation = Name::new(&format!("new-{round}"))?;
+        let changes = [Change::CreateOrganisation { organisation }];
+        config.apply_all(&changes, u64::from(round) + 1)?;
+    }
+    Ok(started.elapsed() / CHANGE_ROUNDS)
+}
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,7 +6,9 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use eyre::{Context, Result};
-use guavaspread_replay::{Deployment, Outcome, PolicyName, Trace, TraceSpec, replay};
+use guavaspread_replay::{
+    Deployment, Outcome, PolicyName, Trace, TraceSpec, decision_costs, replay,
+};
 
 /// Replays traces through the decision code in virtual time.
 #[derive(Parser)]
@@ -40,6 +42,8 @@
         /// The trace.
         trace: PathBuf,
     },
+    /// Time single decisions at several sizes.
+    Decisions,
     /// Generate a trace in memory for each seed, and replay it under every policy.
     Sample {
         /// Whose sizes and mix it has.
@@ -87,6 +91,13 @@
             let file = File::open(&trace).wrap_err_with(|| trace.display().to_string())?;
             compare(&Trace::read(BufReader::new(file))?, json)
         }
+        Command::Decisions => {
+            let mut out = std::io::stdout().lock();
+            for cost in decision_costs()? {
+                writeln!(out, "{} {}: {:?}", cost.decision, cost.size, cost.time)?;
+            }
+            Ok(())
+        }
         Command::Sample { deployment, seeds, failures, rate, json } => {
             for seed in seeds {
                 let mut spec = TraceSpec { failures, ..TraceSpec::today(deployment.into(), seed) };
--- a/crates/replay/src/sim.rs
+++ b/crates/replay/src/sim.rs
@@ -6,18 +6,16 @@
 
 use guavaspread_model::{AdapterVersion, Name};
 use guavaspread_placement::{
-    DemandMap, EngineKey, EngineQueue, EngineView, Next, Policy, Preset, QueueLimits, Route,
-    Router, SlotState, Ticket, TicketKey, adapter_hash,
+    DemandMap, EngineKey, EngineQueue, EngineView, Next, Policy, QueueLimits, Route, Router,
+    SlotState, Ticket, TicketKey, adapter_hash,
 };
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 
-use crate::baseline::{
-    Candidate, Chooser, Clairvoyant, Future, LeastLoaded, LeastRecentlyUsed, Pooled, Rendezvous,
-};
+use crate::baseline::{Candidate, Chooser, Clairvoyant, Future, LeastRecentlyUsed};
 use crate::outcome::Outcome;
+use crate::policy::PolicyName;
 use crate::store::Store;
 use crate::trace::{EventKind, Trace};
 
@@ -29,60 +27,6 @@
 const LOADS_MAX: usize = 2;
 const WAIT_MS_MAX: u64 = 3_600_000;
 
-/// Names a policy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum PolicyName {
-    /// The least loaded engine, evicting what was used least recently.
-    LeastLoadedLru,
-    /// The adapter's first engine by rendezvous hash, evicting what was used least recently.
-    RendezvousLru,
-    /// Any engine, evicting what is used again last: the bound.
-    Clairvoyant,
-    /// The product, weighing stalls first.
-    StallsFirst,
-    /// The product, weighing full batches first.
-    BatchesFirst,
-}
-
-impl PolicyName {
-    /// Lists every policy.
-    pub const ALL: &'static [PolicyName] = &[
-        PolicyName::LeastLoadedLru,
-        PolicyName::RendezvousLru,
-        PolicyName::Clairvoyant,
-        PolicyName::StallsFirst,
-        PolicyName::BatchesFirst,
-    ];
-
-    /// Returns the name on reports.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            PolicyName::LeastLoadedLru => "least-loaded-lru",
-            PolicyName::RendezvousLru => "rendezvous-lru",
-            PolicyName::Clairvoyant => "clairvoyant",
-            PolicyName::StallsFirst => "stalls-first",
-            PolicyName::BatchesFirst => "batches-first",
-        }
-    }
-
-    fn policy(self) -> Policy {
-        match self {
-            PolicyName::BatchesFirst => Policy::preset(Preset::BatchesFirst),
-            _ => Policy::preset(Preset::StallsFirst),
-        }
-    }
-
-    fn chooser(self) -> Option<Box<dyn Chooser>> {
-        match self {
-            PolicyName::LeastLoadedLru => Some(Box::new(LeastLoaded)),
-            PolicyName::RendezvousLru => Some(Box::new(Rendezvous)),
-            PolicyName::Clairvoyant => Some(Box::new(Pooled)),
-            PolicyName::StallsFirst | PolicyName::BatchesFirst => None,
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Loaded { engine: usize, load: usize },
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// Names a running process.
+#[derive(Clone, Copy, Debug)]
+pub struct RunningProcess {
+    /// Which daemon it is.
+    pub name: &'static str,
+    /// Its process id.
+    pub pid: u32,
+}
+
 /// Knows one entry host: its settings files and its processes.
 pub struct EntryHost {
     /// Its availability zone.
@@ -283,6 +292,12 @@
         self.caller(host, OPERATOR_KEY)
     }
 
+    /// Lists the processes that run, by name and process id.
+    pub fn processes(&self) -> Vec<RunningProcess> {
+        let hosts = self.entry_hosts.values().flat_map(|host| &host.processes);
+        hosts.map(|(name, child)| RunningProcess { name, pid: child.id() }).collect()
+    }
+
     /// Returns the entry host number `index` in name order.
     ///
     /// # Errors
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -20,7 +20,7 @@
 mod script;
 
 pub use caller::{Caller, Reply, plain, read_stream};
-pub use fleet::{EntryHost, Fleet, FleetSpec, ZoneSpec};
+pub use fleet::{EntryHost, Fleet, FleetSpec, RunningProcess, ZoneSpec};
 pub use relay::Cuts;
 pub use runner::run;
 pub use sample::{DOPRAVNI_KEY, INTAKE, KITA_KEY, declare};
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -60,9 +60,11 @@
 impl Runner {
     fn step(&mut self, step: &Step) -> Result<()> {
         match step {
-            Step::Zone { .. } | Step::Bookings(_) | Step::Slots(_) | Step::TokenTime(_) => {
-                self.set_up(step)
-            }
+            Step::Zone { .. }
+            | Step::Bookings(_)
+            | Step::Slots(_)
+            | Step::TokenTime(_)
+            | Step::CheckFences => self.set_up(step),
             Step::Start => {
                 let fleet = Fleet::start(&self.spec)?;
                 declare(&fleet)?;
@@ -122,6 +124,14 @@
                 self.faults.lose_answers = *count;
                 self.set_faults()
             }
+            Step::Weights(arrive) => {
+                self.faults.loads_fail = !arrive;
+                self.set_faults()
+            }
+            Step::SlowWeights(factor) => {
+                self.faults.load_factor = *factor;
+                self.set_faults()
+            }
             Step::Wait(time) => {
                 sleep(*time);
                 Ok(())
@@ -155,6 +165,9 @@
             Step::Slots(slots) => {
                 self.spec.engine = EngineSpec { slots: *slots, ..self.spec.engine }
             }
+            Step::CheckFences => {
+                self.spec.engine = EngineSpec { check_fences: true, ..self.spec.engine };
+            }
             Step::TokenTime(time) => {
                 let token_ms = time.as_millis() as u32;
                 self.spec.engine = EngineSpec { token_ms, ..self.spec.engine };
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -63,6 +63,8 @@
     Slots(usize),
     /// Sets the time between tokens; before `start`.
     TokenTime(Duration),
+    /// Has engines refuse orders with old fencing numbers; before `start`.
+    CheckFences,
     /// Starts everything and declares the sample.
     Start,
     /// Runs an operator's statement, which ends with this code, 0 for success.
@@ -139,6 +141,10 @@
     Platform(bool),
     /// Loses the answers of the next commits.
     LoseAnswers(u32),
+    /// Has weight loads fail, or not.
+    Weights(bool),
+    /// Has weight loads take this many times as long.
+    SlowWeights(u32),
     /// Does nothing for a while.
     Wait(Duration),
     /// Waits until another host owns an engine.
@@ -259,6 +265,7 @@
         preceded(key("bookings"), number).map(Step::Bookings),
         preceded(key("slots"), number).map(Step::Slots),
         preceded(key("token-time"), duration).map(Step::TokenTime),
+        key("check-fences").value(Step::CheckFences),
         key("start").value(Step::Start),
     ))
     .parse_next(input)
@@ -350,6 +357,14 @@
             preceded(key("loses"), number).map(Step::LoseAnswers),
         )),
     );
+    let weights = preceded(
+        key("weights"),
+        alt((
+            key("fail").value(Step::Weights(false)),
+            key("arrive").value(Step::Weights(true)),
+            preceded(key("slow"), number).map(Step::SlowWeights),
+        )),
+    );
     let cut = (preceded(key("cut"), name), preceded(key("from"), name));
     alt((
         preceded(key("crash"), name).map(Step::Crash),
@@ -359,6 +374,7 @@
         cut.map(|(a, b)| Step::CutZones(a, b)),
         key("heal").value(Step::Heal),
         platform,
+        weights,
         preceded(key("wait"), duration).map(Step::Wait),
     ))
     .parse_next(input)
