--- a/crates/replay/src/sim.rs
+++ b/crates/replay/src/sim.rs
@@ -42,6 +42,7 @@
     deadline: Duration,
     gateway: usize,
     engine: usize,
+    order: Ticket,
     ticket: Option<TicketKey>,
 }
 
@@ -212,6 +213,7 @@
                     deadline,
                     gateway,
                     engine: 0,
+                    order: ticket.clone(),
                     ticket: None,
                 };
                 self.requests.push(request);
@@ -366,15 +368,16 @@
         self.pump(now, engine);
     }
 
-    /// Empties an engine; what it ran or queued is refused.
+    /// Empties an engine; what it ran or queued is tried again elsewhere, as gateways do.
     fn restart(&mut self, now: Duration, engine: usize) {
         self.account(now, engine);
         let tickets: Vec<(TicketKey, usize)> = self.engines[engine].tickets.drain().collect();
+        let mut broken = Vec::new();
         for (key, request) in tickets {
             self.engines[engine].queue.on_finished(key);
             self.requests[request].ticket = None;
-            self.outcome.refused += 1;
             self.end_attempt(request);
+            broken.push(request);
         }
         let target = &mut self.engines[engine];
         target.generation += 1;
@@ -383,6 +386,11 @@
         for adapter in slots {
             target.queue.on_evicted(&adapter, true);
         }
+        broken.sort_unstable();
+        for request in broken {
+            let ticket = self.requests[request].order.clone();
+            self.submit(now, request, ticket);
+        }
     }
 
     fn report(&mut self, now: Duration, gateway: usize, engine: usize) {
