--- a/crates/config/tests/interleavings.rs
+++ b/crates/config/tests/interleavings.rs
@@ -13,8 +13,8 @@
     Step,
 };
 use guavaspread_model::{Change, Config as Configuration, Name};
+use guavaspread_search::Search;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use test_case::test_case;
 
 const CASES: u32 = 8_000;
@@ -22,7 +22,8 @@
 const MEMBERS: usize = 3;
 const PROPOSERS: usize = 2;
 const GRACE: Duration = Duration::from_secs(4);
-const SEED: [u8; 32] = *b"guavaspread config seed 00000001";
+const SEARCH: Search =
+    Search { seed: *b"guavaspread config seed 00000001", cases: CASES, steps_max: STEPS_MAX };
 
 /// Takes one protection out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -321,22 +322,16 @@
     ]
 }
 
+/// Returns the first violation found, shrunk.
 fn search(without: Without) -> Option<String> {
-    eprintln!("seed {:?}, {CASES} cases, {without:?} taken out", String::from_utf8_lossy(&SEED));
-    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let ops = proptest::collection::vec(op(), 1..STEPS_MAX);
-    let result = TestRunner::new_with_rng(config, rng).run(&ops, |ops| {
+    eprintln!("{without:?} taken out");
+    SEARCH.find(op(), |ops| {
         let mut world = World::new(without);
-        for op in &ops {
+        ops.iter().find_map(|op| {
             world.apply(op);
-            if let Some(violation) = &world.violation {
-                return Err(TestCaseError::fail(violation.clone()));
-            }
-        }
-        Ok(())
-    });
-    result.err().map(|e| e.to_string())
+            world.violation.take()
+        })
+    })
 }
 
 #[test]
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use clock::Clock;
 pub use follower::{Follower, FollowerParts, Snapshot, member_transaction};
-pub use links::{Links, OpenError};
+pub use links::{Links, OpenError, open_borders};
 pub use proposer::propose;
 pub use stop::{Stop, StopHandle, stop_channel, stop_on_signals};
 
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -4,8 +4,10 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
+use guavaspread_platform::{HttpPlatform, Platform};
 use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, SERVER_NAME, client_endpoint};
 use quinn::{Connection, Endpoint};
 use serde::de::DeserializeOwned;
@@ -13,6 +15,21 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Opens what a control thread speaks through: the platform and the dispatchers.
+///
+/// # Errors
+///
+/// Fails when a client can't be built or the identity is unusable.
+pub async fn open_borders(
+    platform: SocketAddr,
+    identity: &Identity,
+    source: IpAddr,
+) -> Result<(Rc<dyn Platform>, Rc<Links>), String> {
+    let platform = HttpPlatform::new(platform).await.map_err(|e| e.to_string())?;
+    let links = Links::new(identity, source).map_err(|e| e.to_string())?;
+    Ok((Rc::new(platform), Rc::new(links)))
+}
+
 /// Tells why a stream could not be opened.
 #[derive(Debug)]
 pub enum OpenError {
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -4,9 +4,9 @@
 use std::thread;
 
 use guavaspread_config::{Acknowledgement, Member};
-use guavaspread_control::{Follower, FollowerParts, Links, Snapshot, member_transaction};
+use guavaspread_control::{Follower, FollowerParts, Snapshot, member_transaction, open_borders};
 use guavaspread_ownership::{Holder, Right, Role};
-use guavaspread_platform::{GroupCommit, HttpPlatform, Platform};
+use guavaspread_platform::GroupCommit;
 use guavaspread_settings::DispatcherSettings;
 use guavaspread_wire::{Identity, SeenHead};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -108,13 +108,10 @@
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let (platform, links): (Rc<dyn Platform>, Rc<Links>) = match (
-                HttpPlatform::new(process.platform).await,
-                Links::new(&identity, process.source),
-            ) {
-                (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
-                (Err(e), _) => return log::error!("the control thread can't start: {e}"),
-                (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
+            let borders = open_borders(process.platform, &identity, process.source).await;
+            let (platform, links) = match borders {
+                Ok(borders) => borders,
+                Err(e) => return log::error!("the control thread can't start: {e}"),
             };
             let incarnation = rand::random();
             let holder = Holder { host: process.host.clone(), incarnation, probe };
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -54,12 +54,20 @@
     req: HttpRequest,
     payload: Payload,
     path: &'static str,
+) -> HttpResponse {
+    respond(&worker, &req, serve(&worker, &req, payload, path)).await
+}
+
+/// Answers a caller with what `serve` answers or refuses, in a span of the caller's trace.
+pub(crate) async fn respond(
+    worker: &Worker,
+    req: &HttpRequest,
+    serve: impl Future<Output = Result<HttpResponse, Refusal>>,
 ) -> HttpResponse {
     worker.metrics.requests.inc();
-    let span = tracing::info_span!("gateway", path);
-    adopt(&span, header_text(&req, "traceparent").unwrap_or_default());
-    let result = serve(&worker, &req, payload, path).instrument(span).await;
-    result.unwrap_or_else(|refusal| {
+    let span = tracing::info_span!("gateway", path = req.path());
+    adopt(&span, header_text(req, "traceparent").unwrap_or_default());
+    serve.instrument(span).await.unwrap_or_else(|refusal| {
         worker.metrics.refuse(refusal.code);
         refuse(&refusal)
     })
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,10 +6,12 @@
 
 use futures::future::join_all;
 use guavaspread_config::{Member, Outcome};
-use guavaspread_control::{Follower, FollowerParts, Links, OWNER_PREFIX, Snapshot, propose};
+use guavaspread_control::{
+    Follower, FollowerParts, Links, OWNER_PREFIX, Snapshot, open_borders, propose,
+};
 use guavaspread_model::Change;
 use guavaspread_ownership::OwnerRow;
-use guavaspread_platform::{HttpPlatform, Platform};
+use guavaspread_platform::Platform;
 use guavaspread_settings::GatewaySettings;
 use guavaspread_wire::{Ask, DigestEntry, Identity, StatusReply};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -73,13 +75,10 @@
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let system = ntex::rt::System::new("control", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let (platform, links): (Rc<dyn Platform>, Rc<Links>) = match (
-                HttpPlatform::new(process.platform).await,
-                Links::new(&identity, process.source),
-            ) {
-                (Ok(platform), Ok(links)) => (Rc::new(platform), Rc::new(links)),
-                (Err(e), _) => return log::error!("the control thread can't start: {e}"),
-                (_, Err(e)) => return log::error!("the control thread can't start: {e}"),
+            let borders = open_borders(process.platform, &identity, process.source).await;
+            let (platform, links) = match borders {
+                Ok(borders) => borders,
+                Err(e) => return log::error!("the control thread can't start: {e}"),
             };
             let member = Member { host: process.host.clone(), process: gateway_name() };
             let control = Control {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -6,20 +6,18 @@
 use futures::StreamExt;
 use guavaspread_engine::{Backend, Category, HttpBackend, Piece, RunRequest};
 use guavaspread_model::RequestClass;
-use guavaspread_telemetry::{adopt, traceparent};
+use guavaspread_telemetry::traceparent;
 use guavaspread_wire::RunEvent;
 use ntex::http::header;
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
-use tracing::Instrument;
 
 use crate::attempt::Answer;
 use crate::board::Board;
-use crate::completion::{authenticate, config, header_text, read_body};
+use crate::completion::{authenticate, config, header_text, read_body, respond};
 use crate::deliver::{Delivery, replay};
 use crate::once::{OnceKey, Outcome, run_once};
 use crate::prelude::*;
-use crate::respond::refuse;
 use crate::worker::Worker;
 
 const ATTEMPTS_MAX: usize = 4;
@@ -72,14 +70,7 @@
 
 /// Answers a request to a service.
 pub(crate) async fn answer(worker: Rc<Worker>, req: HttpRequest, payload: Payload) -> HttpResponse {
-    worker.metrics.requests.inc();
-    let span = tracing::info_span!("gateway", path = req.path());
-    adopt(&span, header_text(&req, "traceparent").unwrap_or_default());
-    let result = serve(&worker, &req, payload).instrument(span).await;
-    result.unwrap_or_else(|refusal| {
-        worker.metrics.refuse(refusal.code);
-        refuse(&refusal)
-    })
+    respond(&worker, &req, serve(&worker, &req, payload)).await
 }
 
 async fn serve(
--- a/crates/ownership/tests/interleavings.rs
+++ b/crates/ownership/tests/interleavings.rs
@@ -11,16 +11,17 @@
 
 use guavaspread_model::{AdapterVersion, Name};
 use guavaspread_ownership::{Holder, Lease, LeaseTimes, Next, OwnerRow, Right, Role};
+use guavaspread_search::Search;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use test_case::test_case;
 
 const CASES: u32 = 20_000;
 const STEPS_MAX: usize = 240;
 const PROCESSES: usize = 2;
 const ADAPTERS: usize = 2;
-const SEED: [u8; 32] = *b"guavaspread ownership seed 00001";
+const SEARCH: Search =
+    Search { seed: *b"guavaspread ownership seed 00001", cases: CASES, steps_max: STEPS_MAX };
 
 /// Takes one protection out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -343,26 +344,16 @@
     ]
 }
 
-fn runner(cases: u32) -> TestRunner {
-    let config = Config { cases, failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED))
-}
-
 /// Returns the first violation found, shrunk.
 fn search(without: Without) -> Option<String> {
-    eprintln!("seed {:?}, {CASES} cases, {without:?} taken out", String::from_utf8_lossy(&SEED));
-    let ops = proptest::collection::vec(op(), 1..STEPS_MAX);
-    let result = runner(CASES).run(&ops, |ops| {
+    eprintln!("{without:?} taken out");
+    SEARCH.find(op(), |ops| {
         let mut world = World::new(without);
-        for op in &ops {
+        ops.iter().find_map(|op| {
             world.apply(op);
-            if let Some(violation) = &world.violation {
-                return Err(TestCaseError::fail(violation.clone()));
-            }
-        }
-        Ok(())
-    });
-    result.err().map(|e| e.to_string())
+            world.violation.take()
+        })
+    })
 }
 
 #[test]
@@ -382,7 +373,7 @@
 /// The search is worth something only if ownership changes hands and evictions happen.
 #[test]
 fn search_reaches_takeovers_and_evictions() {
-    let mut runner = runner(1);
+    let mut runner = SEARCH.runner();
     let ops = proptest::collection::vec(op(), STEPS_MAX..STEPS_MAX + 1);
     let (mut takeovers, mut evictions) = (0, 0);
     for _ in 0..500 {
--- /dev/null
+++ b/crates/search/src/lib.rs
@@ -0,0 +1,44 @@
+//! # guavaspread search
+//!
+//! Searches sequences of operations on a pure state machine for one that breaks a
+//! promise; for tests. The seed is fixed and printed, so a run can be repeated.
+
+use std::fmt::Debug;
+
+use proptest::collection::vec;
+use proptest::strategy::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+/// Bounds a search.
+#[derive(Clone, Copy, Debug)]
+pub struct Search {
+    /// The seed.
+    pub seed: [u8; 32],
+    /// How many sequences are tried.
+    pub cases: u32,
+    /// The longest sequence, in operations.
+    pub steps_max: usize,
+}
+
+impl Search {
+    /// Makes a runner that draws from the seed.
+    pub fn runner(&self) -> TestRunner {
+        let config = Config { cases: self.cases, failure_persistence: None, ..Config::default() };
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &self.seed);
+        TestRunner::new_with_rng(config, rng)
+    }
+
+    /// Returns the first violation that `run` reports, with the shortest sequence found for it.
+    pub fn find<S>(&self, op: S, run: impl Fn(&[S::Value]) -> Option<String>) -> Option<String>
+    where
+        S: Strategy,
+        S::Value: Clone + Debug,
+    {
+        eprintln!("seed {:?}, {} cases", String::from_utf8_lossy(&self.seed), self.cases);
+        let result = self.runner().run(&vec(op, 1..self.steps_max), |ops| match run(&ops) {
+            Some(violation) => Err(TestCaseError::fail(violation)),
+            None => Ok(()),
+        });
+        result.err().map(|e| e.to_string())
+    }
+}
