--- a/crates/playground/src/hosts.rs
+++ b/crates/playground/src/hosts.rs
@@ -37,12 +37,14 @@
     operator: KeyHash,
     hosts: Vec<Host>,
     daemons: Vec<Daemons>,
+    token_ms: u32,
 }
 
 /// Starts the stand-ins and the daemons of every entry host.
 pub(crate) fn start(
     deployment: Deployment,
     port: u16,
+    token_ms: u32,
     operator_key: &str,
     stop: &Stop,
 ) -> Result<Playground> {
@@ -54,6 +56,7 @@
         operator: KeyHash::of(operator_key),
         hosts: Vec::new(),
         daemons: Vec::new(),
+        token_ms,
     };
     let booking = BookingStandIn::default();
     for zone in deployment.zones() {
@@ -76,7 +79,8 @@
     fn add_zone(&mut self, zone: &Zone, port: u16, booking: &BookingStandIn) -> Result<()> {
         let service = HostKind::Service(Name::new(self.deployment.service())?);
         for index in 0..zone.engines {
-            let spec = EngineSpec { weights: Some(self.platform), ..EngineSpec::default() };
+            let (weights, token_ms) = (Some(self.platform), self.token_ms);
+            let spec = EngineSpec { weights, token_ms, ..EngineSpec::default() };
             let address = EngineStandIn::new(spec).spawn(loopback(0))?;
             self.list(zone, "engine", index, HostKind::Engine, address)?;
         }
--- a/crates/playground/src/main.rs
+++ b/crates/playground/src/main.rs
@@ -38,6 +38,9 @@
     /// How many adapters are declared.
     #[arg(long, default_value_t = 3_000)]
     adapters: u32,
+    /// The time between tokens, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    token_ms: u32,
     /// The log level.
     #[arg(long, default_value = "warn")]
     log: String,
@@ -54,7 +57,7 @@
     let mut signals = stop_on_signals()?;
     let (handle, stop) = stop_channel();
     let operator_key = bearer_key("operator");
-    let playground = start(args.deployment, args.port, &operator_key, &stop)?;
+    let playground = start(args.deployment, args.port, args.token_ms, &operator_key, &stop)?;
     let caller_key = bearer_key(args.deployment.organisation());
     declare(&playground, &operator_key, &args, &caller_key).await?;
     welcome(&playground, &operator_key, &args, &caller_key)?;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -342,7 +342,7 @@
 impl Run {
     async fn step(state: Option<Run>) -> Step {
         let mut run = state?;
-        sleep(Duration::from_millis(run.token_ms.into())).await;
+        run.wait_for_token().await;
         let due = |name| run.prompt.order(name) == Some(run.index);
         if due("silent-after") {
             sleep(FOREVER).await;
@@ -368,9 +368,16 @@
         Some((Ok(Bytes::from(format!("data: {chunk}\n\n"))), Some(run)))
     }
 
+    /// Waits out the time between tokens; no time at all is not a tick of the timer.
+    async fn wait_for_token(&self) {
+        if self.token_ms > 0 {
+            sleep(Duration::from_millis(self.token_ms.into())).await;
+        }
+    }
+
     async fn whole(mut self) -> HttpResponse {
         for index in 0..self.prompt.tokens() {
-            sleep(Duration::from_millis(self.token_ms.into())).await;
+            self.wait_for_token().await;
             if self.prompt.order("crash") == Some(index) {
                 self.guard.engine.crash();
             }
