Keep the playground's ports out of the range of outgoing connections

Cause: from a clean clone the README's first command failed once in two starts with 'Address already in use': a port that the system had given out as free was taken by an outgoing connection before its daemon bound it.

Change: the scenario runner's ports, below the range of outgoing connections, moved to the stand-ins and serve both. Ruled out: retrying the bind, since the address is in the host list by then.

--- a/crates/playground/src/hosts.rs
+++ b/crates/playground/src/hosts.rs
@@ -1,6 +1,6 @@
 //! Stand-ins and daemons on threads of this process.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
 
@@ -9,14 +9,14 @@
 use guavaspread_keys::Authority;
 use guavaspread_model::{Host, HostKind, HostState, KeyHash, Name};
 use guavaspread_settings::{DispatcherSettings, GatewaySettings};
-use guavaspread_standins::{BookingStandIn, EngineSpec, EngineStandIn, PlatformStandIn};
+use guavaspread_standins::{
+    BookingStandIn, EngineSpec, EngineStandIn, PlatformStandIn, free_address,
+};
 use guavaspread_wire::Identity;
 
 use crate::deployment::{Deployment, Zone};
 use crate::loopback;
 
-const PORT_TRIES_MAX: u32 = 64;
-
 /// Knows a running playground.
 pub(crate) struct Playground {
     pub(crate) gateway: SocketAddr,
@@ -165,15 +165,3 @@
     })?;
     Ok(())
 }
-
-/// Finds an address whose port is free for both TCP and UDP.
-fn free_address() -> Result<SocketAddr> {
-    for _ in 0..PORT_TRIES_MAX {
-        let tcp = TcpListener::bind(loopback(0))?;
-        let address = tcp.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(eyre!("no port is free for both TCP and UDP"))
-}
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -10,13 +10,13 @@
 use guavaspread_keys::Authority;
 use guavaspread_model::{Host, HostKind, HostState, KeyHash, Name};
 use guavaspread_standins::{
-    BookingStandIn, EngineSpec, EngineStandIn, PlatformSpec, PlatformStandIn,
+    BookingStandIn, EngineSpec, EngineStandIn, PlatformSpec, PlatformStandIn, any_address,
+    free_address,
 };
 use serde_json::Value;
 use tempfile::TempDir;
 
 use crate::caller::Caller;
-use crate::ports::{any_address, free_address};
 use crate::relay::{Cuts, relay_tcp, relay_udp};
 
 const OPERATOR_KEY: &str = "operator-key-of-a-test";
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -13,7 +13,6 @@
 
 mod caller;
 mod fleet;
-mod ports;
 mod relay;
 mod runner;
 mod sample;
--- a/crates/scenario/src/relay.rs
+++ b/crates/scenario/src/relay.rs
@@ -12,8 +12,7 @@
 use std::time::Duration;
 
 use guavaspread_model::Name;
-
-use crate::ports::any_address;
+use guavaspread_standins::any_address;
 
 const STALL_POLL: Duration = Duration::from_millis(20);
 const DATAGRAM_BYTES_MAX: usize = 65_536;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,12 +11,14 @@
 //! | stand in for an engine | [`EngineStandIn`], [`EngineSpec`] |
 //! | stand in for a booking service | [`BookingStandIn`] |
 //! | run several from a file | [`StandInSettings`] |
+//! | find a free address on loopback | [`free_address`] |
 //!
 //! Each `spawn` serves on a thread of its own until the process ends.
 
 mod booking;
 mod engine;
 mod platform;
+mod ports;
 mod server;
 mod settings;
 mod tokens;
@@ -24,4 +26,5 @@
 pub use booking::BookingStandIn;
 pub use engine::{EngineEvent, EngineEventKind, EngineSpec, EngineStandIn};
 pub use platform::{Faults, PlatformSpec, PlatformStandIn, PlatformStats};
+pub use ports::{any_address, free_address};
 pub use settings::StandInSettings;
--- a/crates/scenario/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -12,12 +12,16 @@
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns the address by which the system chooses a free port.
-pub(crate) fn any_address() -> SocketAddr {
+pub fn any_address() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
 /// Finds an address whose port is free for both TCP and UDP, and not given out before here.
-pub(crate) fn free_address() -> io::Result<SocketAddr> {
+///
+/// # Errors
+///
+/// Fails when no port is free.
+pub fn free_address() -> io::Result<SocketAddr> {
     // Test processes that run side by side start at different ports.
     let offset = (std::process::id() % 97) as u16 * 139;
     for _ in 0..TRIES_MAX {
