Call the border to the table and host list the store

Cause: the users' machines are met through a folder named platform/, and a crate of the same name stood for the product's own border trait. Change: crates/platform becomes crates/store; nothing else changes. Ruled out: keeping both names (two packages guavaspread-platform in one workspace).

--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -13,7 +13,7 @@
 
 use guavaspread_config::{Acknowledgement, ChangeRecord, Follow, Head, Member, Replica, View};
 use guavaspread_model::{Host, HostState, Name, rendezvous_score};
-use guavaspread_platform::{Platform, Result, Row, Transaction, Write};
+use guavaspread_store::{Platform, Result, Row, Transaction, Write};
 use guavaspread_wire::{Ask, DigestEntry, ExchangeReply, SeenHead};
 use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
--- a/crates/control/src/links.rs
+++ b/crates/control/src/links.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use guavaspread_platform::{HttpPlatform, Platform};
+use guavaspread_store::{HttpPlatform, Platform};
 use guavaspread_wire::{Ask, FrameReceiver, FrameSender, Identity, SERVER_NAME, client_endpoint};
 use quinn::{Connection, Endpoint};
 use serde::de::DeserializeOwned;
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use guavaspread_config::{Acknowledgement, Head, Outcome, Proposal, ProposalTimes, Step};
 use guavaspread_model::{Change, Code, Config, Host, Name, Refusal};
-use guavaspread_platform::{Category, Platform, Transaction, Write};
+use guavaspread_store::{Category, Platform, Transaction, Write};
 use guavaspread_wire::{Ask, SeenHead};
 use ntex::time::sleep;
 use rand::seq::IndexedRandom;
--- a/crates/dispatcher/src/leases.rs
+++ b/crates/dispatcher/src/leases.rs
@@ -7,7 +7,7 @@
 use guavaspread_control::{OWNER_PREFIX, Snapshot};
 use guavaspread_model::Config;
 use guavaspread_ownership::{Holder, Lease, LeaseTimes, Next, OwnerRow, Role, rank};
-use guavaspread_platform::{Category, Committed, Error, Platform, Row, Transaction};
+use guavaspread_store::{Category, Committed, Error, Platform, Row, Transaction};
 
 use crate::prelude::*;
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,8 +11,8 @@
 };
 use guavaspread_model::Change;
 use guavaspread_ownership::OwnerRow;
-use guavaspread_platform::Platform;
 use guavaspread_settings::GatewaySettings;
+use guavaspread_store::Platform;
 use guavaspread_wire::{Ask, DigestEntry, Identity, StatusReply};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
--- a/crates/gateway/src/once.rs
+++ b/crates/gateway/src/once.rs
@@ -9,7 +9,7 @@
 use guavaspread_config::Acknowledgement;
 use guavaspread_control::MEMBER_PREFIX;
 use guavaspread_model::content_hash;
-use guavaspread_platform::{Category, Committed, Error, Transaction, Write};
+use guavaspread_store::{Category, Committed, Error, Transaction, Write};
 use guavaspread_wire::RunEvent;
 use ntex::web::HttpRequest;
 use tokio::sync::{mpsc, oneshot};
@@ -191,7 +191,7 @@
     async fn write(&mut self, row: Option<Box<ClaimRow>>, revision: Option<u64>) -> Next {
         let value = row.and_then(|row| serde_json::to_string(&*row).ok());
         let mut tx = Transaction::default();
-        tx.conditions.push(guavaspread_platform::Condition { key: self.row_key.clone(), revision });
+        tx.conditions.push(guavaspread_store::Condition { key: self.row_key.clone(), revision });
         tx.writes.push(Write { key: self.row_key.clone(), value });
         let result = self.worker.claims.commit(tx).await;
         self.on_commit(result)
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 
-use guavaspread_platform::{Category, Transaction};
+use guavaspread_store::{Category, Transaction};
 use guavaspread_wire::Ask;
 use rand::seq::IndexedRandom;
 
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -5,8 +5,8 @@
 
 use guavaspread_control::{Links, Stop};
 use guavaspread_placement::{DemandMap, EngineKey, RetryBudget, Route, Router};
-use guavaspread_platform::{GroupCommit, HttpPlatform, Platform};
 use guavaspread_settings::GatewaySettings;
+use guavaspread_store::{GroupCommit, HttpPlatform, Platform};
 use guavaspread_wire::{DigestEntry, Identity};
 use slotmap::SecondaryMap;
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use guavaspread_model::Host;
-use guavaspread_platform::{Committed, Conflict, Row, Transaction};
+use guavaspread_store::{Committed, Conflict, Row, Transaction};
 use ntex::time::sleep;
 use ntex::web::types::{Json, Query, State};
 use ntex::web::{self, HttpResponse, ServiceConfig};
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! # guavaspread platform
+//! # guavaspread store
 //!
 //! The border to what the platform gives: a transactional table, an object
 //! store and a lagging list of hosts.
