--- /dev/null
+++ b/crates/entry/src/access.rs
@@ -0,0 +1,104 @@
+//! Whether a request for an adapter may go to an engine.
+//!
+//! With a grant in force it may at once. Else the host that owns the engine's orders
+//! is asked, which loads the adapter. Without an answer of an owner, what the list of
+//! servers shows decides: engines refuse what they do not hold.
+
+use guavaspread_fleet::{AdapterId, Grant, Server};
+
+use crate::message::{Answer, Ask};
+use crate::prelude::*;
+use crate::state::Entry;
+
+/// How long a request waits for an adapter's load before another engine is tried.
+const LOAD_WAIT: Duration = Duration::from_millis(2_000);
+/// Time kept for the run itself.
+const RUN_RESERVE: Duration = Duration::from_millis(100);
+/// How long an older version may still be used: the time in which owners replace it.
+const OLD_VERSION_FOR: Duration = Duration::from_millis(2_500);
+
+/// Tells whether a server may be sent the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Access {
+    /// It may, for this version of the adapter if one is known.
+    Granted(Option<u64>),
+    /// It may not.
+    Denied,
+}
+
+/// Asks for the use of an adapter on an engine.
+pub(crate) async fn request(
+    entry: &Rc<Entry>,
+    server: &Arc<Server>,
+    id: &AdapterId,
+    missed: bool,
+    until: Duration,
+) -> Access {
+    let now = entry.clock.now();
+    let (newest, version_min) = versions(entry, id, now);
+    let granted = entry.grants.borrow_mut().get(&server.id, id, version_min, now);
+    if let Some(grant) = granted {
+        return Access::Granted(Some(grant.version));
+    }
+    let left = until.saturating_sub(now + RUN_RESERVE).min(LOAD_WAIT);
+    let ask = Ask {
+        number: 0,
+        engine: server.id.to_string(),
+        model: id.model.to_string(),
+        adapter: id.adapter.to_string(),
+        version: newest,
+        uses: entry.grants.borrow_mut().take_uses(&server.id, id) + 1,
+        wait_ms: left.as_millis() as u32,
+        missed,
+    };
+    match ask_owner(entry, server, ask).await {
+        Some(Answer::Granted { version, grant_ms }) => {
+            let now = entry.clock.now();
+            let until = now + Duration::from_millis(grant_ms.into());
+            let grant = Grant { version, until };
+            entry.grants.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
+            Access::Granted(Some(version))
+        }
+        Some(Answer::NotYet | Answer::Impossible) => Access::Denied,
+        Some(Answer::NotOwner) | None if missed => Access::Denied,
+        Some(Answer::NotOwner) | None => listed(entry, server, id, version_min),
+    }
+}
+
+/// Returns the newest version of an adapter, and the oldest that may still be used.
+fn versions(entry: &Entry, id: &AdapterId, now: Duration) -> (u64, u64) {
+    match entry.versions.borrow().get(id) {
+        Some(known) if now >= known.since + OLD_VERSION_FOR => (known.version, known.version),
+        Some(known) => (known.version, 0),
+        None => (0, 0),
+    }
+}
+
+async fn ask_owner(entry: &Rc<Entry>, server: &Arc<Server>, ask: Ask) -> Option<Answer> {
+    let owner = {
+        let leases = entry.leases.borrow();
+        leases.holder(&server.id).map(|(holder, address)| (holder.clone(), address))
+    };
+    let (holder, address) = owner?;
+    if holder == entry.holder {
+        return Some(entry.orders.answer(entry, &ask).await);
+    }
+    let answer = entry.peers.ask(address, ask).await;
+    if matches!(answer, Some(Answer::NotOwner)) {
+        entry.leases.borrow_mut().on_doubt();
+        entry.leases_changed.notify_waiters();
+    }
+    answer
+}
+
+/// Goes by the list of servers, which lags.
+fn listed(entry: &Entry, server: &Arc<Server>, id: &AdapterId, version_min: u64) -> Access {
+    let roster = entry.roster.borrow();
+    let current = roster.get(&server.id).unwrap_or(server);
+    let held = current.models.iter().filter(|model| model.name == id.model);
+    let mut adapters = held.flat_map(|model| model.adapters.iter());
+    match adapters.find(|a| a.name == id.adapter && a.version >= version_min) {
+        Some(adapter) => Access::Granted(Some(adapter.version)),
+        None => Access::Denied,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,146 @@
+//! Follows the platform's store: configurations, versions, servers and leases.
+
+use guavaspread_fleet::LeaseNext;
+
+use crate::border::{Feed, Listing, StoreError, Update, Written};
+use crate::prelude::*;
+use crate::state::Entry;
+
+/// How long the store may hold a question for changes of the control list.
+const CONTROL_WAIT: Duration = Duration::from_secs(5);
+/// How long the store may hold a question for changes of the list of servers.
+const SERVERS_WAIT: Duration = Duration::from_secs(2);
+/// Between two questions for changes of the list of servers, which change all the time;
+/// a server that leaves must get no work two seconds later.
+const SERVERS_PAUSE: Duration = Duration::from_millis(700);
+/// Between two tries to reach the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Follows one list until the process ends.
+pub(crate) async fn follow(entry: Rc<Entry>, feed: Feed) {
+    let mut after: Option<u64> = None;
+    let mut away = false;
+    loop {
+        let listing = match after {
+            None => entry.borders.store.list(feed).await,
+            Some(after) => entry.borders.store.changes(feed, after, wait(feed)).await,
+        };
+        let now = entry.clock.now();
+        match listing {
+            Ok(listing) => {
+                if std::mem::take(&mut away) {
+                    log::info!("the store is back for {feed:?}");
+                }
+                let whole = after.is_none();
+                after = Some(listing.revision.max(after.unwrap_or(0)));
+                on_listing(&entry, feed, listing, whole, now);
+                if feed == Feed::Servers {
+                    tokio::time::sleep(SERVERS_PAUSE).await;
+                }
+            }
+            Err(StoreError::HistoryLost) => {
+                log::warn!("the store forgot changes of {feed:?} behind {after:?}; reads all");
+                after = None;
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut away, true) {
+                    log::warn!("{feed:?} is not followed: {e}");
+                }
+                if feed == Feed::Servers {
+                    entry.roster.borrow_mut().on_away(now);
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn wait(feed: Feed) -> Duration {
+    match feed {
+        Feed::Control => CONTROL_WAIT,
+        Feed::Servers => SERVERS_WAIT,
+    }
+}
+
+fn on_listing(entry: &Rc<Entry>, feed: Feed, listing: Listing, whole: bool, now: Duration) {
+    let mut changes = Vec::new();
+    let mut servers = Vec::new();
+    for update in listing.updates {
+        match update {
+            Update::Catalog(catalog) => entry.on_catalog(*catalog),
+            Update::Version { id, version } => entry.on_version(id, version),
+            Update::Server { server, revision } if whole => servers.push((*server, revision)),
+            Update::Server { server, revision } => {
+                changes.extend(entry.roster.borrow_mut().upsert(*server, revision));
+            }
+            Update::Gone { id, revision } => {
+                changes.extend(entry.roster.borrow_mut().remove(&id, revision, now));
+            }
+            Update::Unreadable { key, revision, reason } => {
+                entry.metrics.unreadable_rows.inc();
+                log::warn!("row {key} can't be read: {reason}");
+                if feed == Feed::Servers {
+                    changes.extend(entry.roster.borrow_mut().remove(&key, revision, now));
+                }
+            }
+        }
+    }
+    if feed == Feed::Servers {
+        let mut roster = entry.roster.borrow_mut();
+        roster.on_back(now);
+        if whole {
+            changes.extend(roster.replace(servers, listing.revision, now));
+        }
+        changes.extend(roster.expire(now));
+    }
+    entry.on_roster(changes);
+}
+
+/// Renews and claims leases until the process ends.
+pub(crate) async fn hold_leases(entry: Rc<Entry>) {
+    loop {
+        let changed = entry.leases_changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        let now = entry.clock.now();
+        let next = entry.leases.borrow_mut().next(now);
+        match next {
+            LeaseNext::Read => read_leases(&entry).await,
+            LeaseNext::Write(rows) => {
+                let result = entry.borders.store.write_leases(&rows).await;
+                let mut leases = entry.leases.borrow_mut();
+                match result {
+                    Ok(Written::Done { revision, shown_ms }) => {
+                        leases.on_written(rows, revision, shown_ms, now, entry.clock.now());
+                    }
+                    Ok(Written::Conflict) => leases.on_write_failed(),
+                    Err(e) => {
+                        log::warn!("leases were not written: {e}");
+                        leases.on_write_failed();
+                    }
+                }
+            }
+            LeaseNext::Wait(at) => {
+                let wait = at.saturating_sub(now).max(Duration::from_millis(10));
+                // Waking without a change only asks the book again.
+                let _ = tokio::time::timeout(wait, changed).await;
+            }
+        }
+        entry.orders.sync(&entry);
+    }
+}
+
+async fn read_leases(entry: &Rc<Entry>) {
+    let sent_at = entry.clock.now();
+    let table = entry.borders.store.leases().await;
+    let now = entry.clock.now();
+    match table {
+        Ok(table) => {
+            entry.leases.borrow_mut().on_read(table.rows, table.shown_ms, sent_at, now);
+        }
+        Err(e) => {
+            log::warn!("leases were not read: {e}");
+            entry.leases.borrow_mut().on_read_failed(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/message.rs
@@ -0,0 +1,55 @@
+//! What entry hosts say to each other.
+//!
+//! A host that has a request for an adapter asks the host that owns the engine's
+//! orders. Messages are postcard in length-delimited frames; several questions may be
+//! open on a connection, told apart by their numbers.
+
+use serde::{Deserialize, Serialize};
+
+/// Asks for the use of an adapter on an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Tells the answer apart from others on the connection.
+    pub number: u32,
+    /// The engine's id.
+    pub engine: String,
+    /// The model.
+    pub model: String,
+    /// The adapter of that model.
+    pub adapter: String,
+    /// The lowest version that will do.
+    pub version: u64,
+    /// Requests for it since the last question.
+    pub uses: u32,
+    /// How long the answer may wait for a load, in milliseconds.
+    pub wait_ms: u32,
+    /// Whether the engine refused a request for it just now.
+    pub missed: bool,
+}
+
+/// Answers an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The number of the question.
+    pub number: u32,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// Tells whether an adapter may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It is loaded.
+    Granted {
+        /// The version loaded.
+        version: u64,
+        /// How long requests may go there without asking again, in milliseconds.
+        grant_ms: u32,
+    },
+    /// It was not loaded in time.
+    NotYet,
+    /// The engine can't hold it.
+    Impossible,
+    /// The host asked does not own the engine's orders.
+    NotOwner,
+}
--- /dev/null
+++ b/crates/entry/src/orders.rs
@@ -0,0 +1,168 @@
+//! Carries out the orders of the engines that this host owns.
+
+use guavaspread_fleet::{AdapterId, EngineLedger, Readiness, Server, Step};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::message::{Answer, Ask};
+use crate::prelude::*;
+use crate::state::Entry;
+
+/// How long a host may send requests for an adapter without asking again.
+const GRANT: Duration = Duration::from_millis(1_500);
+/// Between two looks at an engine on which nothing happens.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
+struct Owned {
+    ledger: RefCell<EngineLedger>,
+    /// Wakes the engine's task and those that wait for an adapter.
+    changed: Notify,
+    born: u64,
+}
+
+struct Running {
+    owned: Rc<Owned>,
+    task: JoinHandle<()>,
+}
+
+/// Holds the ledgers of the engines that this host owns.
+#[derive(Default)]
+pub(crate) struct Orders {
+    engines: RefCell<HashMap<Arc<str>, Running>>,
+}
+
+impl Orders {
+    /// Starts and stops the tasks of engines as their ownership changes.
+    pub(crate) fn sync(&self, entry: &Rc<Entry>) {
+        let now = entry.clock.now();
+        let mut engines = self.engines.borrow_mut();
+        let owned = entry.leases.borrow().owned(now);
+        engines.retain(|id, running| {
+            let kept = owned.contains(id)
+                && entry.roster.borrow().get(id).is_some_and(|s| s.born == running.owned.born);
+            if !kept {
+                running.task.abort();
+            }
+            kept
+        });
+        for id in owned {
+            if engines.contains_key(&id) {
+                continue;
+            }
+            let Some(server) = entry.roster.borrow().get(&id).cloned() else { continue };
+            let Some(ledger) = new_ledger(entry, &server) else { continue };
+            let owned = Rc::new(Owned {
+                ledger: RefCell::new(ledger),
+                changed: Notify::new(),
+                born: server.born,
+            });
+            let task = tokio::task::spawn_local(run_engine(entry.clone(), owned.clone(), server));
+            log::info!("gives the orders of engine {id}");
+            engines.insert(id, Running { owned, task });
+        }
+    }
+
+    /// Takes over that a newer version of an adapter exists.
+    pub(crate) fn on_version(&self, id: &AdapterId, version: u64, now: Duration) {
+        for running in self.engines.borrow().values() {
+            running.owned.ledger.borrow_mut().on_version(id, version, now);
+            running.owned.changed.notify_waiters();
+        }
+    }
+
+    /// Answers whether an adapter may be used, once it is loaded.
+    pub(crate) async fn answer(&self, entry: &Rc<Entry>, ask: &Ask) -> Answer {
+        let owned = self.engines.borrow().get(&*ask.engine).map(|running| running.owned.clone());
+        let Some(owned) = owned else {
+            return Answer::NotOwner;
+        };
+        let id = AdapterId { model: (*ask.model).into(), adapter: (*ask.adapter).into() };
+        let until = entry.clock.now() + Duration::from_millis(ask.wait_ms.into());
+        if ask.missed {
+            owned.ledger.borrow_mut().on_missing(entry.clock.now());
+        }
+        let mut uses = ask.uses;
+        loop {
+            let changed = owned.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let now = entry.clock.now();
+            let readiness = owned.ledger.borrow_mut().want(&id, ask.version, uses, GRANT, now);
+            uses = 0;
+            match readiness {
+                Readiness::Ready(version) => {
+                    return Answer::Granted { version, grant_ms: GRANT.as_millis() as u32 };
+                }
+                Readiness::Impossible => return Answer::Impossible,
+                Readiness::Loading if now >= until => return Answer::NotYet,
+                Readiness::Loading => owned.changed.notify_waiters(),
+            }
+            let left = until.saturating_sub(now).min(IDLE_INTERVAL);
+            // Without a change the ledger is asked again all the same.
+            let _ = tokio::time::timeout(left, changed).await;
+        }
+    }
+}
+
+/// Makes the ledger of an engine; it is to hold the model that most engines hold.
+fn new_ledger(entry: &Entry, server: &Server) -> Option<EngineLedger> {
+    let catalog = entry.catalog.borrow().clone()?;
+    let spec = catalog.service(&server.service)?.engine.clone()?;
+    let held = server.models.first().map(|held| held.name.clone());
+    let model = held.or_else(|| spec.models.first().map(|model| model.name.clone()))?;
+    let mut ledger = EngineLedger::new(spec, model);
+    let now = entry.clock.now();
+    for (id, known) in entry.versions.borrow().iter() {
+        ledger.on_version(id, known.version, now);
+    }
+    Some(ledger)
+}
+
+/// Gives an engine its orders, one after another.
+async fn run_engine(entry: Rc<Entry>, owned: Rc<Owned>, mut server: Arc<Server>) {
+    loop {
+        if let Some(newer) = entry.roster.borrow().get(&server.id) {
+            server = newer.clone();
+        }
+        let changed = owned.changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        let now = entry.clock.now();
+        let Some(fence) = entry.leases.borrow().fence(&server.id, now) else {
+            tokio::time::sleep(IDLE_INTERVAL).await;
+            continue;
+        };
+        let step = owned.ledger.borrow_mut().next(now);
+        match step {
+            Step::Order(order) => {
+                let engines = &entry.borders.engines;
+                let result = engines.order(&server, &order, &entry.holder, fence).await;
+                entry.metrics.orders.inc();
+                log::debug!("engine {}: {order:?} -> {result:?}", server.id);
+                owned.ledger.borrow_mut().on_result(result, entry.clock.now());
+                owned.changed.notify_waiters();
+            }
+            Step::Observe => {
+                let report = entry.borders.engines.report(&server).await;
+                let now = entry.clock.now();
+                let mut ledger = owned.ledger.borrow_mut();
+                match report {
+                    Ok(report) => {
+                        ledger.on_observed(report.sequence, &report.models, &report.coming, now);
+                    }
+                    Err(e) => {
+                        log::warn!("engine {} does not report: {e}", server.id);
+                        ledger.on_observe_failed(now);
+                    }
+                }
+                drop(ledger);
+                owned.changed.notify_waiters();
+            }
+            Step::Wait(at) => {
+                let wait = at.map_or(IDLE_INTERVAL, |at| at.saturating_sub(now));
+                // Waking without a change only asks the ledger again.
+                let _ = tokio::time::timeout(wait.min(IDLE_INTERVAL), changed).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,150 @@
+//! What the tasks of an entry host share; all run on one thread.
+
+use guavaspread_fleet::{AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange};
+use guavaspread_placement::RetryBudget;
+use tokio::sync::{Notify, watch};
+
+use crate::border::Borders;
+use crate::channel::Pool;
+use crate::metrics::Metrics;
+use crate::orders::Orders;
+use crate::peers::Peers;
+use crate::prelude::*;
+use crate::settings::EntrySettings;
+
+/// Holds the newest version of an adapter.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownVersion {
+    pub(crate) version: u64,
+    pub(crate) since: Duration,
+}
+
+/// Holds the state of the process.
+pub(crate) struct Entry {
+    pub(crate) cfg: RefCell<EntrySettings>,
+    pub(crate) clock: Clock,
+    pub(crate) borders: Borders,
+    pub(crate) metrics: Metrics,
+    pub(crate) pool: Rc<Pool>,
+    pub(crate) peers: Rc<Peers>,
+    /// The name under which this host holds leases.
+    pub(crate) holder: Arc<str>,
+    pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(crate) versions: RefCell<HashMap<AdapterId, KnownVersion>>,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) placement: RefCell<Placement>,
+    pub(crate) grants: RefCell<Grants>,
+    pub(crate) leases: RefCell<LeaseBook>,
+    pub(crate) leases_changed: Notify,
+    pub(crate) orders: Orders,
+    pub(crate) retries: RefCell<HashMap<Arc<str>, RetryBudget>>,
+    /// Set once the process is asked to stop.
+    pub(crate) stopping: watch::Sender<bool>,
+}
+
+/// Entry hosts among which the retries beyond the share are divided.
+const RETRY_HOSTS: f64 = 16.0;
+
+impl Entry {
+    /// Tells whether requests are taken and can be routed.
+    pub(crate) fn is_ready(&self) -> bool {
+        !*self.stopping.borrow()
+            && self.catalog.borrow().is_some()
+            && self.roster.borrow().servers().any(|server| server.is_ready())
+    }
+
+    /// Takes over a newer configuration; an older one is ignored.
+    pub(crate) fn on_catalog(self: &Rc<Self>, catalog: Catalog) {
+        let known = self.catalog.borrow().as_ref().map(|catalog| catalog.version);
+        if known.is_some_and(|known| known >= catalog.version) {
+            return;
+        }
+        log::info!("configuration {} is in force, after {known:?}", catalog.version);
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        self.sync_engines();
+    }
+
+    /// Takes over that a version of an adapter exists.
+    pub(crate) fn on_version(&self, id: AdapterId, version: u64) {
+        let now = self.clock.now();
+        let mut versions = self.versions.borrow_mut();
+        if versions.get(&id).is_some_and(|known| known.version >= version) {
+            return;
+        }
+        log::info!("version {version} of {}/{} exists", id.model, id.adapter);
+        self.orders.on_version(&id, version, now);
+        versions.insert(id, KnownVersion { version, since: now });
+    }
+
+    /// Takes over changes of the list of servers.
+    pub(crate) fn on_roster(self: &Rc<Self>, changes: Vec<RosterChange>) {
+        let mut engines_changed = false;
+        for change in changes {
+            match change {
+                RosterChange::Started(server) => {
+                    log::info!("server {} of {} started", server.id, server.service);
+                    self.pool.close(&server.id);
+                    self.grants.borrow_mut().revoke_server(&server.id);
+                    self.placement.borrow_mut().upsert(server);
+                    engines_changed = true;
+                }
+                RosterChange::Changed(server) => self.placement.borrow_mut().upsert(server),
+                RosterChange::Draining(server) => {
+                    log::info!("server {} drains: {:?}", server.id, server.state);
+                    self.placement.borrow_mut().upsert(server);
+                }
+                RosterChange::Gone(server) => {
+                    log::info!("server {} is gone", server.id);
+                    self.pool.close(&server.id);
+                    self.grants.borrow_mut().revoke_server(&server.id);
+                    self.placement.borrow_mut().remove(&server.id);
+                    engines_changed = true;
+                }
+            }
+        }
+        if engines_changed {
+            self.sync_engines();
+        }
+    }
+
+    /// Tells the lease book which engines there are.
+    pub(crate) fn sync_engines(self: &Rc<Self>) {
+        let Some(catalog) = self.catalog.borrow().clone() else { return };
+        let zone = self.cfg.borrow().zone.clone();
+        let roster = self.roster.borrow();
+        let engines = roster.servers().filter(|server| {
+            catalog.service(&server.service).is_some_and(|service| service.engine.is_some())
+        });
+        let engines = engines.map(|server| (server.id.clone(), server.zone == zone)).collect();
+        self.leases.borrow_mut().set_engines(engines);
+        drop(roster);
+        self.orders.sync(self);
+        self.leases_changed.notify_waiters();
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn on_request(&self, service: &Arc<str>) {
+        self.with_budget(service, RetryBudget::on_request);
+    }
+
+    /// Takes a repeated send out of the service's budget.
+    pub(crate) fn try_retry(&self, service: &Arc<str>) -> bool {
+        let allowed = self.with_budget(service, RetryBudget::try_retry);
+        if allowed {
+            self.metrics.retries.inc();
+        } else {
+            self.metrics.retries_denied.inc();
+        }
+        allowed
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.retries.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let cfg = self.cfg.borrow();
+            let slack = (cfg.retry_slack / RETRY_HOSTS).max(1.0);
+            RetryBudget::new(cfg.retry_share, slack)
+        });
+        f(budget)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger.rs
@@ -0,0 +1,490 @@
+//! The orders that one engine gets: which adapters it loads, and which make way.
+//!
+//! The owner of an engine keeps its ledger. One order is under way at a time and
+//! carries the number of orders that the engine has accepted, so that an order whose
+//! answer was lost can't take effect behind a later one. An adapter takes up a place
+//! from the moment it may be loaded until it is known to be gone, because an engine
+//! that is ordered to load more than it has places for crashes.
+
+use guavaspread_placement::DemandMap;
+
+use crate::catalog::EngineSpec;
+use crate::prelude::*;
+use crate::roster::{AdapterId, HeldModel};
+
+/// Adapter loads under way at one engine, as engines take no more.
+const LOADS_MAX: usize = 4;
+/// How long an adapter load takes until one was measured.
+const LOAD_TIME: Duration = Duration::from_millis(240);
+/// How long a load of an adapter takes that the engine has held lately.
+const RELOAD_TIME: Duration = Duration::from_millis(20);
+/// Between two questions whether a load is complete.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Between two questions whether the load of a model is complete.
+const MODEL_POLL_INTERVAL: Duration = Duration::from_millis(60);
+/// How old an engine's report may be, beyond which it shows an order that was accepted.
+const REPORT_LAG: Duration = Duration::from_millis(400);
+/// Before an order is repeated that the engine refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+/// A load that is not complete after that long was lost; the engine is asked what it holds.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
+/// Half-life of the demand by which adapters make way.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(12);
+const DEMAND_ENTRIES_MAX: usize = 4_096;
+/// Adapters that an engine keeps at hand after they were unloaded.
+const RECENT_MAX: usize = 96;
+/// How long a request for an adapter keeps it wanted if nobody asks again.
+const WANTED_FOR: Duration = Duration::from_secs(3);
+
+/// Tells what an order does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a model.
+    LoadModel,
+    /// Load an adapter, or replace it by a newer version.
+    Load {
+        /// The adapter's name.
+        adapter: Arc<str>,
+        /// Its version; `None` for the newest.
+        version: Option<u64>,
+    },
+    /// Unload an adapter.
+    Unload {
+        /// The adapter's name.
+        adapter: Arc<str>,
+    },
+}
+
+/// Holds one order for an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The model concerned.
+    pub model: Arc<str>,
+    /// What to do.
+    pub kind: OrderKind,
+    /// The number of orders that the engine must have accepted so far.
+    pub expected: u64,
+}
+
+/// Tells what an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// It carries the order out.
+    Accepted,
+    /// What was ordered holds already.
+    Holds,
+    /// Another order is under way, or the number of orders differs.
+    Conflict,
+    /// The engine refused for another reason; nothing was done.
+    Refused,
+    /// No answer: the order may have been accepted.
+    Lost,
+}
+
+/// Tells whether an adapter can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// It is loaded in that version.
+    Ready(u64),
+    /// It is being loaded, or waits for that.
+    Loading,
+    /// The engine can't hold it.
+    Impossible,
+}
+
+/// Answers what to do next for an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send this order and report its result.
+    Order(Order),
+    /// Ask the engine what it holds.
+    Observe,
+    /// Nothing until that moment, unless something new is reported.
+    Wait(Option<Duration>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Ready,
+    /// Accepted at `since`; asked about from `ask_at` on.
+    Loading { since: Duration, ask_at: Duration },
+    Unloading { ask_at: Duration },
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    version: u64,
+    state: State,
+    /// Until when entry hosts may send requests for it without asking.
+    granted_until: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    version: u64,
+    since: Duration,
+    until: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ModelState {
+    Absent,
+    Loading { ask_at: Duration },
+    Ready,
+}
+
+/// Decides the orders of one engine.
+#[derive(Debug)]
+pub struct EngineLedger {
+    spec: EngineSpec,
+    model: Arc<str>,
+    model_state: ModelState,
+    sequence: Option<u64>,
+    places: HashMap<AdapterId, Place>,
+    wanted: HashMap<AdapterId, Wanted>,
+    newest: HashMap<AdapterId, u64>,
+    demand: DemandMap<AdapterId>,
+    recent: std::collections::VecDeque<AdapterId>,
+    under_way: Option<Order>,
+    observe_at: Option<Duration>,
+    resume_at: Duration,
+    load_time: Duration,
+}
+
+impl EngineLedger {
+    /// Makes the ledger of an engine of which nothing is known yet.
+    ///
+    /// `model` is what it is to hold.
+    pub fn new(spec: EngineSpec, model: Arc<str>) -> Self {
+        EngineLedger {
+            spec,
+            model,
+            model_state: ModelState::Absent,
+            sequence: None,
+            places: HashMap::new(),
+            wanted: HashMap::new(),
+            newest: HashMap::new(),
+            demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
+            recent: std::collections::VecDeque::new(),
+            under_way: None,
+            observe_at: Some(Duration::ZERO),
+            resume_at: Duration::ZERO,
+            load_time: LOAD_TIME,
+        }
+    }
+
+    /// Takes over what the engine reported that it holds and loads.
+    ///
+    /// A report that does not show every accepted order yet is asked for again.
+    pub fn on_observed(
+        &mut self,
+        sequence: u64,
+        models: &[HeldModel],
+        coming: &[(AdapterId, u64)],
+        now: Duration,
+    ) {
+        if self.sequence.is_some_and(|known| sequence < known) {
+            self.observe_at = Some(now + REPORT_LAG);
+            return;
+        }
+        self.sequence = Some(sequence);
+        self.observe_at = None;
+        let old = std::mem::take(&mut self.places);
+        let mut place = |id: AdapterId, version: u64, state: State| {
+            let granted_until = old.get(&id).map_or(Duration::ZERO, |p| p.granted_until);
+            self.places.insert(id, Place { version, state, granted_until });
+        };
+        for held in models {
+            for adapter in &held.adapters {
+                let id = AdapterId { model: held.name.clone(), adapter: adapter.name.clone() };
+                place(id, adapter.version, State::Ready);
+            }
+        }
+        for (id, version) in coming {
+            place(id.clone(), *version, State::Loading { since: now, ask_at: now });
+        }
+        match models.iter().any(|held| held.name == self.model) {
+            true => self.model_state = ModelState::Ready,
+            false if self.model_state == ModelState::Ready => {
+                self.model_state = ModelState::Absent;
+            }
+            false => {}
+        }
+    }
+
+    /// Asks for an adapter in at least `version`; `uses` requests were made of it.
+    pub fn want(
+        &mut self,
+        id: &AdapterId,
+        version: u64,
+        uses: u32,
+        grant: Duration,
+        now: Duration,
+    ) -> Readiness {
+        if id.model != self.model || self.capacity() == 0 {
+            return Readiness::Impossible;
+        }
+        for _ in 0..uses.max(1) {
+            self.demand.add(id, now);
+        }
+        let version = version.max(self.newest.get(id).copied().unwrap_or(0));
+        if let Some(place) = self.places.get_mut(id)
+            && place.state == State::Ready
+            && place.version >= version
+            && self.model_state == ModelState::Ready
+        {
+            place.granted_until = place.granted_until.max(now + grant);
+            return Readiness::Ready(place.version);
+        }
+        let since = self.wanted.get(id).map_or(now, |wanted| wanted.since);
+        let wanted = Wanted { version, since, until: now + WANTED_FOR };
+        self.wanted.insert(id.clone(), wanted);
+        Readiness::Loading
+    }
+
+    /// Takes over that a newer version of an adapter exists; one that is held is replaced.
+    pub fn on_version(&mut self, id: &AdapterId, version: u64, now: Duration) {
+        if id.model != self.model {
+            return;
+        }
+        let newest = self.newest.entry(id.clone()).or_default();
+        *newest = version.max(*newest);
+        let is_old = self.places.get(id).is_some_and(|place| place.version < version);
+        if is_old {
+            let wanted = Wanted { version, since: now, until: now + LOAD_TIMEOUT };
+            self.wanted.insert(id.clone(), wanted);
+        }
+    }
+
+    /// Returns what is known of an adapter without asking for it.
+    pub fn readiness(&self, id: &AdapterId) -> Readiness {
+        match self.places.get(id) {
+            Some(place) if place.state == State::Ready => Readiness::Ready(place.version),
+            _ => Readiness::Loading,
+        }
+    }
+
+    /// Reports that the engine refused a request because it does not hold the adapter.
+    pub fn on_missing(&mut self, now: Duration) {
+        self.observe_at.get_or_insert(now);
+    }
+
+    /// Answers what to do next; call it again once that is done.
+    pub fn next(&mut self, now: Duration) -> Step {
+        if self.under_way.is_some() {
+            return Step::Wait(None);
+        }
+        if let Some(at) = self.observe_at {
+            return if at <= now { Step::Observe } else { Step::Wait(Some(at)) };
+        }
+        let Some(expected) = self.sequence else {
+            return Step::Observe;
+        };
+        if self.resume_at > now {
+            return Step::Wait(Some(self.resume_at));
+        }
+        match self.next_kind(now) {
+            Ok(kind) => {
+                let order = Order { model: self.model.clone(), kind, expected };
+                self.under_way = Some(order.clone());
+                Step::Order(order)
+            }
+            Err(wake_at) => Step::Wait(wake_at),
+        }
+    }
+
+    /// Reports what the engine answered to the order under way.
+    pub fn on_result(&mut self, result: OrderResult, now: Duration) {
+        let Some(order) = self.under_way.take() else {
+            return;
+        };
+        match result {
+            OrderResult::Accepted => self.on_accepted(&order, now),
+            OrderResult::Holds => self.on_holds(&order, now),
+            OrderResult::Conflict => {
+                self.observe_at = Some(now + REPORT_LAG);
+            }
+            OrderResult::Refused => self.resume_at = now + REFUSED_PAUSE,
+            OrderResult::Lost => {
+                // It may still take effect: the place counts, and the report decides.
+                if let OrderKind::Load { adapter, version } = &order.kind {
+                    let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                    let state = State::Loading { since: now, ask_at: now + REPORT_LAG };
+                    let version = version.unwrap_or(0);
+                    self.places.entry(id).or_insert(Place {
+                        version,
+                        state,
+                        granted_until: Duration::ZERO,
+                    });
+                }
+                self.observe_at = Some(now + REPORT_LAG);
+            }
+        }
+    }
+
+    /// Reports that the engine could not be asked what it holds.
+    pub fn on_observe_failed(&mut self, now: Duration) {
+        self.observe_at = Some(now + REPORT_LAG);
+    }
+
+    fn on_accepted(&mut self, order: &Order, now: Duration) {
+        self.sequence = Some(order.expected + 1);
+        match &order.kind {
+            OrderKind::LoadModel => {
+                self.places.clear();
+                self.model_state = ModelState::Loading { ask_at: now + MODEL_POLL_INTERVAL };
+            }
+            OrderKind::Load { adapter, version } => {
+                let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                let expected = if self.recent.contains(&id) { RELOAD_TIME } else { self.load_time };
+                let version = version.unwrap_or_else(|| self.version_wanted(&id));
+                let known = self.places.get(&id).map(|place| place.state);
+                let (since, ask_at) = match known {
+                    Some(State::Loading { since, .. }) => (since, now + POLL_INTERVAL),
+                    _ => (now, now + expected),
+                };
+                let state = State::Loading { since, ask_at };
+                let granted_until = Duration::ZERO;
+                self.places.insert(id, Place { version, state, granted_until });
+            }
+            OrderKind::Unload { adapter } => {
+                let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                if let Some(place) = self.places.get_mut(&id) {
+                    place.state = State::Unloading { ask_at: now + POLL_INTERVAL };
+                }
+            }
+        }
+    }
+
+    fn on_holds(&mut self, order: &Order, now: Duration) {
+        match &order.kind {
+            OrderKind::LoadModel => self.model_state = ModelState::Ready,
+            OrderKind::Load { adapter, version } => {
+                let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                if let Some(Place { state: State::Loading { since, .. }, .. }) =
+                    self.places.get(&id)
+                    && !self.recent.contains(&id)
+                {
+                    self.load_time = (self.load_time * 7 + now.saturating_sub(*since)) / 8;
+                }
+                let version = version.unwrap_or_else(|| self.version_wanted(&id));
+                self.recent.retain(|other| *other != id);
+                self.wanted.remove(&id);
+                let granted_until = Duration::ZERO;
+                self.places.insert(id, Place { version, state: State::Ready, granted_until });
+            }
+            OrderKind::Unload { adapter } => {
+                let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                self.places.remove(&id);
+                self.recent.push_back(id);
+                if self.recent.len() > RECENT_MAX {
+                    self.recent.pop_front();
+                }
+                // An unload that holds at once may count as accepted; the engine's
+                // next answer tells.
+            }
+        }
+    }
+
+    fn version_wanted(&self, id: &AdapterId) -> u64 {
+        let wanted = self.wanted.get(id).map_or(0, |wanted| wanted.version);
+        wanted.max(self.newest.get(id).copied().unwrap_or(0)).max(1)
+    }
+
+    /// Returns how many adapters the engine can hold beside the model.
+    fn capacity(&self) -> usize {
+        let Some(model) = self.spec.model(&self.model) else {
+            return 0;
+        };
+        let room = (self.spec.weights_mb - model.weights_mb) / model.adapter_mb.max(0.001);
+        self.spec.adapter_slots.min(room.max(0.0) as usize)
+    }
+
+    /// Chooses the next order, or tells when to look again.
+    fn next_kind(&mut self, now: Duration) -> Result<OrderKind, Option<Duration>> {
+        match self.model_state {
+            ModelState::Absent => return Ok(OrderKind::LoadModel),
+            ModelState::Loading { ask_at } if ask_at <= now => return Ok(OrderKind::LoadModel),
+            ModelState::Loading { ask_at } => return Err(Some(ask_at)),
+            ModelState::Ready => {}
+        }
+        self.wanted.retain(|_, wanted| wanted.until > now);
+        if let Some(kind) = self.next_question(now) {
+            return Ok(kind);
+        }
+        let loading = self.places.values().filter(|p| matches!(p.state, State::Loading { .. }));
+        if loading.count() < LOADS_MAX
+            && let Some(kind) = self.next_load(now)
+        {
+            return Ok(kind);
+        }
+        Err(self.wake_at())
+    }
+
+    /// Asks whether a load or unload is complete, by ordering it again.
+    fn next_question(&mut self, now: Duration) -> Option<OrderKind> {
+        let (id, place) = self.places.iter().find(|(_, place)| match place.state {
+            State::Ready => false,
+            State::Loading { ask_at, .. } | State::Unloading { ask_at } => ask_at <= now,
+        })?;
+        let adapter = id.adapter.clone();
+        match place.state {
+            State::Loading { since, .. } if now >= since + LOAD_TIMEOUT => {
+                self.observe_at = Some(now);
+                Some(OrderKind::Load { adapter, version: Some(place.version) })
+            }
+            State::Loading { .. } => {
+                Some(OrderKind::Load { adapter, version: Some(place.version) })
+            }
+            State::Ready | State::Unloading { .. } => Some(OrderKind::Unload { adapter }),
+        }
+    }
+
+    /// Loads the adapter that has waited longest, after making room for it.
+    fn next_load(&self, now: Duration) -> Option<OrderKind> {
+        let mut waiting: Vec<(&AdapterId, &Wanted)> = self
+            .wanted
+            .iter()
+            .filter(|(id, wanted)| match self.places.get(*id) {
+                None => true,
+                Some(place) => place.state == State::Ready && place.version < wanted.version,
+            })
+            .collect();
+        waiting.sort_by(|a, b| a.1.since.cmp(&b.1.since).then(a.0.cmp(b.0)));
+        let (id, wanted) = waiting.first()?;
+        let is_held = self.places.contains_key(*id);
+        if !is_held && self.places.len() >= self.capacity() {
+            return self.victim(now).map(|adapter| OrderKind::Unload { adapter });
+        }
+        let version = (wanted.version > 0).then_some(wanted.version);
+        Some(OrderKind::Load { adapter: id.adapter.clone(), version })
+    }
+
+    /// Picks the adapter that makes way: the least wanted of those that nobody may use
+    /// without asking, or else of all.
+    fn victim(&self, now: Duration) -> Option<Arc<str>> {
+        // One unload at a time makes room for one load.
+        if self.places.values().any(|place| matches!(place.state, State::Unloading { .. })) {
+            return None;
+        }
+        let rank = |(id, place): &(&AdapterId, &Place)| {
+            (place.granted_until > now, self.demand.count(id, now))
+        };
+        let ready = self.places.iter().filter(|(id, place)| {
+            place.state == State::Ready && !self.wanted.contains_key(*id)
+        });
+        let coldest = ready.min_by(|a, b| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        });
+        coldest.map(|(id, _)| id.adapter.clone())
+    }
+
+    fn wake_at(&self) -> Option<Duration> {
+        let asks = self.places.values().filter_map(|place| match place.state {
+            State::Ready => None,
+            State::Loading { ask_at, .. } | State::Unloading { ask_at } => Some(ask_at),
+        });
+        asks.min()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,38 @@
+//! # guavaspread fleet
+//!
+//! Decides for one entry host that sends callers' requests straight to the backend
+//! servers. No clock and no I/O: callers pass the time and carry out what they get
+//! back, so that the daemon and the tests drive the same code.
+//!
+//! | to | reach for |
+//! |---|---|
+//! | find the route of a request | [`Catalog`], [`Route`] |
+//! | follow the backend servers | [`Roster`], [`Server`] |
+//! | choose a server | [`Placement`], [`Pick`] |
+//! | decide which orders an engine gets | [`EngineLedger`], [`Step`] |
+//! | own an engine's orders | [`LeaseBook`], [`LeaseNext`] |
+//! | remember which engine holds what | [`Grants`] |
+//! | tell a failure that another server may make good | [`Attempts`], [`Verdict`] |
+//!
+//! Times are durations since any fixed moment, the same for all calls to a value.
+
+mod attempts;
+mod catalog;
+mod grants;
+mod lease;
+mod ledger;
+mod placement;
+mod prelude;
+mod roster;
+
+pub use attempts::{Attempts, Outcome, Verdict};
+pub use catalog::{
+    Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target,
+};
+pub use grants::{Grant, Grants};
+pub use lease::{LeaseBook, LeaseNext, LeaseRow, LeaseTimes};
+pub use ledger::{EngineLedger, Order, OrderKind, OrderResult, Readiness, Step};
+pub use placement::{LoadReport, Pick, Placement, PlacementKey};
+pub use roster::{
+    AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState,
+};
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,260 @@
+//! The choice of a backend server for a request.
+//!
+//! Answers the load pattern of few very popular and very many rare adapters: each
+//! adapter has an order of engines of its own, the same on every entry host, and uses
+//! as many of the first ones as its share of the requests asks for. Rare adapters so
+//! meet on one engine, where their last load is still at hand; popular ones spread.
+//! Plain services go by load, the entry host's own zone first.
+
+use guavaspread_model::rendezvous_score;
+use guavaspread_placement::{Demand, DemandMap};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::prelude::*;
+use crate::roster::{AdapterId, Server};
+
+/// How long a server that could not be reached is tried last.
+const SUSPECT_FOR: Duration = Duration::from_millis(1_500);
+/// Half-life of a server's failures; a server that fails some requests recovers in seconds.
+const FAILURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// What one recent failure adds to a server's cost, in shares of its slots.
+const FAILURE_COST: f64 = 0.5;
+/// How long a load report counts; later one's own requests say more.
+const REPORT_KEPT_FOR: Duration = Duration::from_millis(1_000);
+/// What another zone adds to the cost of a plain server, in shares of its slots.
+const ZONE_COST: f64 = 0.5;
+/// Half-life of an adapter's demand.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
+const DEMAND_ENTRIES_MAX: usize = 8_192;
+/// Engines for an adapter beyond its share of the requests, as a factor.
+const SPREAD: f64 = 1.4;
+
+new_key_type! {
+    /// Identifies a server in a placement.
+    pub struct PlacementKey;
+}
+
+/// Holds what a server said of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// Answers which server gets a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Pick {
+    /// This one.
+    Server(PlacementKey, Arc<Server>),
+    /// No server of the service takes work.
+    None,
+}
+
+#[derive(Clone, Debug)]
+struct Candidate {
+    server: Arc<Server>,
+    in_flight: u32,
+    report: Option<(LoadReport, Duration)>,
+    failures: Demand,
+    suspect_until: Duration,
+}
+
+impl Candidate {
+    /// Returns the requests there, as a share of its slots.
+    fn load(&self, now: Duration) -> f64 {
+        let reported = match self.report {
+            Some((report, at)) if now < at + REPORT_KEPT_FOR => report.running + report.waiting,
+            _ => 0,
+        };
+        f64::from(reported.max(self.in_flight) + 1) / f64::from(self.server.slots.max(1))
+    }
+
+    fn cost(&self, now: Duration) -> f64 {
+        let failures = self.failures.count(now, FAILURE_HALF_LIFE);
+        self.load(now) + failures * FAILURE_COST
+    }
+}
+
+/// Chooses servers for one entry host.
+#[derive(Debug)]
+pub struct Placement {
+    zone: Arc<str>,
+    candidates: SlotMap<PlacementKey, Candidate>,
+    by_id: HashMap<Arc<str>, PlacementKey>,
+    demand: DemandMap<AdapterId>,
+    total: Demand,
+}
+
+impl Placement {
+    /// Makes a placement for an entry host in `zone` that knows no server.
+    pub fn new(zone: Arc<str>) -> Self {
+        Placement {
+            zone,
+            candidates: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
+            total: Demand::default(),
+        }
+    }
+
+    /// Adds a server or takes over what changed about it.
+    pub fn upsert(&mut self, server: Arc<Server>) {
+        let known = self.by_id.get(&server.id).and_then(|key| self.candidates.get_mut(*key));
+        if let Some(candidate) = known {
+            if candidate.server.born != server.born {
+                candidate.report = None;
+                candidate.suspect_until = Duration::ZERO;
+                candidate.failures = Demand::default();
+            }
+            candidate.server = server;
+            return;
+        }
+        let id = server.id.clone();
+        let key = self.candidates.insert(Candidate {
+            server,
+            in_flight: 0,
+            report: None,
+            failures: Demand::default(),
+            suspect_until: Duration::ZERO,
+        });
+        self.by_id.insert(id, key);
+    }
+
+    /// Removes a server.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(key) = self.by_id.remove(id) {
+            self.candidates.remove(key);
+        }
+    }
+
+    /// Tells whether a server of the service takes work.
+    pub fn serves(&self, service: &str) -> bool {
+        self.candidates.values().any(|c| &*c.server.service == service && c.server.is_ready())
+    }
+
+    /// Counts a request for an adapter.
+    pub fn count(&mut self, adapter: &AdapterId, now: Duration) {
+        self.demand.add(adapter, now);
+        self.total.add(now, DEMAND_HALF_LIFE, 1.0);
+    }
+
+    /// Chooses a server of a plain service, leaving out those tried before.
+    pub fn pick_plain(&self, service: &str, tried: &[Arc<str>], now: Duration) -> Pick {
+        let cost = |c: &Candidate| {
+            let far = if c.server.zone == self.zone { 0.0 } else { ZONE_COST };
+            c.cost(now) + far
+        };
+        self.cheapest(self.open(service, tried, now), cost)
+    }
+
+    /// Chooses an engine for a request on a model alone.
+    pub fn pick_engine(
+        &self,
+        service: &str,
+        model: &str,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> Pick {
+        let open = self.open(service, tried, now);
+        let holders = open.iter().copied().filter(|key| self.holds(*key, model)).collect::<Vec<_>>();
+        self.cheapest(if holders.is_empty() { open } else { holders }, |c| c.cost(now))
+    }
+
+    /// Chooses an engine for a request on an adapter.
+    pub fn pick_adapter(
+        &self,
+        service: &str,
+        adapter: &AdapterId,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> Pick {
+        let mut open = self.open(service, tried, now);
+        let holders: Vec<_> =
+            open.iter().copied().filter(|key| self.holds(*key, &adapter.model)).collect();
+        if !holders.is_empty() {
+            open = holders;
+        }
+        let name = format!("{}/{}", adapter.model, adapter.adapter);
+        let score = |key: &PlacementKey| {
+            self.candidates.get(*key).map_or(0, |c| rendezvous_score(&name, &c.server.id))
+        };
+        open.sort_by_cached_key(|key| std::cmp::Reverse(score(key)));
+        let engines = open.len();
+        open.truncate(self.replicas(adapter, engines, now));
+        self.cheapest(open, |c| c.cost(now))
+    }
+
+    /// Reports that a server was sent a request.
+    pub fn on_sent(&mut self, key: PlacementKey) {
+        if let Some(candidate) = self.candidates.get_mut(key) {
+            candidate.in_flight += 1;
+        }
+    }
+
+    /// Reports that a request sent to a server has ended.
+    pub fn on_ended(&mut self, key: PlacementKey) {
+        if let Some(candidate) = self.candidates.get_mut(key) {
+            candidate.in_flight = candidate.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes over what a server said of its load.
+    pub fn on_report(&mut self, key: PlacementKey, report: LoadReport, now: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(key) {
+            candidate.report = Some((report, now));
+        }
+    }
+
+    /// Reports that a server failed a request.
+    pub fn on_failed(&mut self, key: PlacementKey, now: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(key) {
+            candidate.failures.add(now, FAILURE_HALF_LIFE, 1.0);
+        }
+    }
+
+    /// Reports that a server could not be reached.
+    pub fn on_unreachable(&mut self, key: PlacementKey, now: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(key) {
+            candidate.suspect_until = now + SUSPECT_FOR;
+        }
+    }
+
+    /// Returns how many engines share the requests of an adapter.
+    fn replicas(&self, adapter: &AdapterId, engines: usize, now: Duration) -> usize {
+        let total = self.total.count(now, DEMAND_HALF_LIFE).max(1.0);
+        let share = self.demand.count(adapter, now) / total;
+        let wanted = (share * SPREAD * engines as f64).ceil() as usize;
+        wanted.clamp(1, engines.max(1))
+    }
+
+    fn holds(&self, key: PlacementKey, model: &str) -> bool {
+        let models = self.candidates.get(key).map(|c| &c.server.models);
+        models.is_some_and(|models| models.iter().any(|held| &*held.name == model))
+    }
+
+    /// Lists the servers that take work; those that could not be reached only without others.
+    fn open(&self, service: &str, tried: &[Arc<str>], now: Duration) -> Vec<PlacementKey> {
+        let open: Vec<PlacementKey> = self
+            .candidates
+            .iter()
+            .filter(|(_, c)| &*c.server.service == service && c.server.is_ready())
+            .filter(|(_, c)| !tried.contains(&c.server.id))
+            .map(|(key, _)| key)
+            .collect();
+        let reachable = |key: &PlacementKey| {
+            self.candidates.get(*key).is_some_and(|c| c.suspect_until <= now)
+        };
+        let sound: Vec<PlacementKey> = open.iter().copied().filter(reachable).collect();
+        if sound.is_empty() { open } else { sound }
+    }
+
+    fn cheapest(&self, keys: Vec<PlacementKey>, cost: impl Fn(&Candidate) -> f64) -> Pick {
+        let candidates = keys.into_iter().filter_map(|key| Some((key, self.candidates.get(key)?)));
+        let best = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+        best.map_or(Pick::None, |(key, c)| Pick::Server(key, c.server.clone()))
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,11 +5,16 @@
 //! | to | reach for |
 //! |---|---|
 //! | start logging | [`start_logs`] |
+//! | log without ever waiting for the reader | [`start_bounded_logs`] |
 //! | export spans to an OTLP collector | [`start_traces`] |
 //! | continue a caller's trace | [`adopt`], [`traceparent`] |
 
+mod bounded;
 mod logs;
+#[cfg(feature = "traces")]
 mod traces;
 
+pub use bounded::start_bounded_logs;
 pub use logs::{Error, LogHandle, Result, start_logs};
+#[cfg(feature = "traces")]
 pub use traces::{TraceHandle, adopt, start_traces, traceparent};
