--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -129,8 +129,7 @@
     /// # Errors
     ///
     /// Fails when the store does not answer as asked, or forgot the changes.
-    async fn changes(&self, feed: Feed, after: u64, wait: Duration)
-    -> Result<Listing, StoreError>;
+    async fn changes(&self, feed: Feed, after: u64, wait: Duration) -> Result<Listing, StoreError>;
 
     /// Reads the lease table.
     ///
@@ -226,8 +225,7 @@
 #[async_trait(?Send)]
 pub trait Engines {
     /// Sends an order.
-    async fn order(&self, server: &Server, order: &Order, holder: &str, fence: u64)
-    -> OrderResult;
+    async fn order(&self, server: &Server, order: &Order, holder: &str, fence: u64) -> OrderResult;
 
     /// Asks an engine what it holds.
     ///
--- a/crates/entry/src/channel.rs
+++ b/crates/entry/src/channel.rs
@@ -121,10 +121,13 @@
     }
 }
 
+/// Tells the connections of two servers apart that had the same address.
+type ServerKey = (SocketAddr, Arc<str>);
+
 /// Keeps idle connections by server.
 #[derive(Default)]
 pub struct Pool {
-    idle: RefCell<HashMap<(SocketAddr, Arc<str>), Vec<Channel>>>,
+    idle: RefCell<HashMap<ServerKey, Vec<Channel>>>,
     opened: Cell<u64>,
 }
 
@@ -264,7 +267,7 @@
 
 struct Home {
     pool: Rc<Pool>,
-    key: (SocketAddr, Arc<str>),
+    key: ServerKey,
     clock: Clock,
     idle_for: Duration,
 }
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -15,7 +15,9 @@
 
 struct Owned {
     ledger: RefCell<EngineLedger>,
-    /// Wakes the engine's task and those that wait for an adapter.
+    /// Wakes the engine's task: something is wanted.
+    wanted: Notify,
+    /// Wakes those that wait for an adapter: the engine answered.
     changed: Notify,
     born: u64,
 }
@@ -53,6 +55,7 @@
             let Some(ledger) = new_ledger(entry, &server) else { continue };
             let owned = Rc::new(Owned {
                 ledger: RefCell::new(ledger),
+                wanted: Notify::new(),
                 changed: Notify::new(),
                 born: server.born,
             });
@@ -66,7 +69,7 @@
     pub(crate) fn on_version(&self, id: &AdapterId, version: u64, now: Duration) {
         for running in self.engines.borrow().values() {
             running.owned.ledger.borrow_mut().on_version(id, version, now);
-            running.owned.changed.notify_waiters();
+            running.owned.wanted.notify_one();
         }
     }
 
@@ -95,7 +98,7 @@
                 }
                 Readiness::Impossible => return Answer::Impossible,
                 Readiness::Loading if now >= until => return Answer::NotYet,
-                Readiness::Loading => owned.changed.notify_waiters(),
+                Readiness::Loading => owned.wanted.notify_one(),
             }
             let left = until.saturating_sub(now).min(IDLE_INTERVAL);
             // Without a change the ledger is asked again all the same.
@@ -124,9 +127,6 @@
         if let Some(newer) = entry.roster.borrow().get(&server.id) {
             server = newer.clone();
         }
-        let changed = owned.changed.notified();
-        tokio::pin!(changed);
-        changed.as_mut().enable();
         let now = entry.clock.now();
         let Some(fence) = entry.leases.borrow().fence(&server.id, now) else {
             tokio::time::sleep(IDLE_INTERVAL).await;
@@ -161,7 +161,8 @@
             Step::Wait(at) => {
                 let wait = at.map_or(IDLE_INTERVAL, |at| at.saturating_sub(now));
                 // Waking without a change only asks the ledger again.
-                let _ = tokio::time::timeout(wait.min(IDLE_INTERVAL), changed).await;
+                let _ =
+                    tokio::time::timeout(wait.min(IDLE_INTERVAL), owned.wanted.notified()).await;
             }
         }
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -42,9 +42,8 @@
 /// Fails when an address is taken or signals can't be handled.
 pub async fn run(cfg: EntrySettings, path: PathBuf, platform: &dyn Platform) -> Result<()> {
     let entry = new_entry(cfg.clone(), platform);
-    let listen = |address| {
-        front::listen(address).wrap_err_with(|| format!("listening on {address}"))
-    };
+    let listen =
+        |address| front::listen(address).wrap_err_with(|| format!("listening on {address}"));
     let callers = listen(cfg.listen)?;
     let ready = listen(cfg.ready)?;
     let metrics = listen(cfg.metrics)?;
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -118,7 +118,7 @@
         let ended = metrics.ended.get_or_create(&labels);
         let count = ended.inc();
         let good = (200..300).contains(&status) && end == "whole";
-        if good && count % SAMPLE != 0 {
+        if good && !count.is_multiple_of(SAMPLE) {
             return;
         }
         let line = Line {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -225,7 +225,7 @@
 /// Tells how one attempt ended.
 enum Attempt {
     Answered(Box<Answered>, InFlight),
-    Failed(Outcome, Option<Answered>),
+    Failed(Outcome, Option<Box<Answered>>),
     /// The same server may be asked again, as after it had dropped an adapter.
     Again,
 }
@@ -394,7 +394,7 @@
             self.entry.placement.borrow_mut().on_failed(key, now);
             if self.route.class == RequestClass::Safe {
                 record.failed(Outcome::Unknown, format!("the server failed with {status}"));
-                return Attempt::Failed(Outcome::Unknown, Some(answered));
+                return Attempt::Failed(Outcome::Unknown, Some(Box::new(answered)));
             }
         }
         Attempt::Answered(Box::new(answered), in_flight)
@@ -483,11 +483,11 @@
     }
 
     /// Answers that the request may have run; a server's own failure is passed on.
-    fn give_up(self, kept: Option<Answered>, record: Record) -> Response<RelayBody> {
+    fn give_up(self, kept: Option<Box<Answered>>, record: Record) -> Response<RelayBody> {
         if let Some(answered) = kept {
             let key = PlacementKey::default();
             let in_flight = InFlight::start(&self.entry, key);
-            return self.pass_on(answered, in_flight, record);
+            return self.pass_on(*answered, in_flight, record);
         }
         let out_of_time = self.entry.clock.now() >= self.until;
         let refusal = if out_of_time {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -107,8 +107,13 @@
 enum State {
     Ready,
     /// Accepted at `since`; asked about from `ask_at` on.
-    Loading { since: Duration, ask_at: Duration },
-    Unloading { ask_at: Duration },
+    Loading {
+        since: Duration,
+        ask_at: Duration,
+    },
+    Unloading {
+        ask_at: Duration,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -328,7 +333,9 @@
     }
 
     fn on_accepted(&mut self, order: &Order, now: Duration) {
-        self.sequence = Some(order.expected + 1);
+        if !self.is_question(order) {
+            self.sequence = Some(order.expected + 1);
+        }
         match &order.kind {
             OrderKind::LoadModel => {
                 self.places.clear();
@@ -356,7 +363,29 @@
         }
     }
 
+    /// Tells whether an order only asks after one that is being carried out; the engine
+    /// does not count it.
+    fn is_question(&self, order: &Order) -> bool {
+        let state = |adapter: &Arc<str>| {
+            let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+            self.places.get(&id).map(|place| place.state)
+        };
+        match &order.kind {
+            OrderKind::LoadModel => matches!(self.model_state, ModelState::Loading { .. }),
+            OrderKind::Load { adapter, .. } => {
+                matches!(state(adapter), Some(State::Loading { .. }))
+            }
+            OrderKind::Unload { adapter } => {
+                matches!(state(adapter), Some(State::Unloading { .. }))
+            }
+        }
+    }
+
     fn on_holds(&mut self, order: &Order, now: Duration) {
+        if matches!(order.kind, OrderKind::Unload { .. }) && !self.is_question(order) {
+            // An adapter that no request uses is unloaded at once, and the order counts.
+            self.sequence = Some(order.expected + 1);
+        }
         match &order.kind {
             OrderKind::LoadModel => self.model_state = ModelState::Ready,
             OrderKind::Load { adapter, version } => {
@@ -380,8 +409,6 @@
                 if self.recent.len() > RECENT_MAX {
                     self.recent.pop_front();
                 }
-                // An unload that holds at once may count as accepted; the engine's
-                // next answer tells.
             }
         }
     }
@@ -470,9 +497,10 @@
         let rank = |(id, place): &(&AdapterId, &Place)| {
             (place.granted_until > now, self.demand.count(id, now))
         };
-        let ready = self.places.iter().filter(|(id, place)| {
-            place.state == State::Ready && !self.wanted.contains_key(*id)
-        });
+        let ready = self
+            .places
+            .iter()
+            .filter(|(id, place)| place.state == State::Ready && !self.wanted.contains_key(*id));
         let coldest = ready.min_by(|a, b| {
             let (a, b) = (rank(a), rank(b));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,13 +26,9 @@
 mod roster;
 
 pub use attempts::{Attempts, Outcome, Verdict};
-pub use catalog::{
-    Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target,
-};
+pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
 pub use grants::{Grant, Grants};
 pub use lease::{LeaseBook, LeaseNext, LeaseRow, LeaseTimes};
 pub use ledger::{EngineLedger, Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
-pub use roster::{
-    AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState,
-};
+pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -160,7 +160,8 @@
         now: Duration,
     ) -> Pick {
         let open = self.open(service, tried, now);
-        let holders = open.iter().copied().filter(|key| self.holds(*key, model)).collect::<Vec<_>>();
+        let holders =
+            open.iter().copied().filter(|key| self.holds(*key, model)).collect::<Vec<_>>();
         self.cheapest(if holders.is_empty() { open } else { holders }, |c| c.cost(now))
     }
 
@@ -245,9 +246,8 @@
             .filter(|(_, c)| !tried.contains(&c.server.id))
             .map(|(key, _)| key)
             .collect();
-        let reachable = |key: &PlacementKey| {
-            self.candidates.get(*key).is_some_and(|c| c.suspect_until <= now)
-        };
+        let reachable =
+            |key: &PlacementKey| self.candidates.get(*key).is_some_and(|c| c.suspect_until <= now);
         let sound: Vec<PlacementKey> = open.iter().copied().filter(reachable).collect();
         if sound.is_empty() { open } else { sound }
     }
