Leave an older version of an adapter to its runs and load the new one elsewhere

Cause: an order to replace an adapter waits for the adapter's runs, and the engine answers every other order with a conflict meanwhile; the owner then took the repeated order for a new one, counted one order too many and waited for a report that never came. Change: an engine with an older version in use is passed over until its grants and runs have ended; a report counts again a second after the last accepted order. Ruled out: the weight store's congestion (no more than 9 loads at once).

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -11,7 +11,7 @@
 use crate::state::Entry;
 
 /// How long a request waits for an adapter's load before another engine is tried.
-const LOAD_WAIT: Duration = Duration::from_millis(2_000);
+const LOAD_WAIT: Duration = Duration::from_millis(1_000);
 /// Time kept for the run itself.
 const RUN_RESERVE: Duration = Duration::from_millis(100);
 /// How long an older version may still be used: the time in which owners replace it.
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -48,7 +48,7 @@
     },
     /// It was not loaded in time.
     NotYet,
-    /// The engine can't hold it.
+    /// The engine can't hold it, or not soon.
     Impossible,
     /// The host asked does not own the engine's orders.
     NotOwner,
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -66,9 +66,9 @@
     }
 
     /// Takes over that a newer version of an adapter exists.
-    pub(crate) fn on_version(&self, id: &AdapterId, version: u64, now: Duration) {
+    pub(crate) fn on_version(&self, id: &AdapterId, version: u64) {
         for running in self.engines.borrow().values() {
-            running.owned.ledger.borrow_mut().on_version(id, version, now);
+            running.owned.ledger.borrow_mut().on_version(id, version);
             running.owned.wanted.notify_one();
         }
     }
@@ -96,7 +96,7 @@
                 Readiness::Ready(version) => {
                     return Answer::Granted { version, grant_ms: GRANT.as_millis() as u32 };
                 }
-                Readiness::Impossible => return Answer::Impossible,
+                Readiness::Impossible | Readiness::InUse => return Answer::Impossible,
                 Readiness::Loading if now >= until => return Answer::NotYet,
                 Readiness::Loading => owned.wanted.notify_one(),
             }
@@ -114,9 +114,8 @@
     let held = server.models.first().map(|held| held.name.clone());
     let model = held.or_else(|| spec.models.first().map(|model| model.name.clone()))?;
     let mut ledger = EngineLedger::new(spec, model);
-    let now = entry.clock.now();
     for (id, known) in entry.versions.borrow().iter() {
-        ledger.on_version(id, known.version, now);
+        ledger.on_version(id, known.version);
     }
     Some(ledger)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -72,7 +72,7 @@
             return;
         }
         log::info!("version {version} of {}/{} exists", id.model, id.adapter);
-        self.orders.on_version(&id, version, now);
+        self.orders.on_version(&id, version);
         versions.insert(id, KnownVersion { version, since: now });
     }
 
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -24,6 +24,12 @@
 const MODEL_POLL_INTERVAL: Duration = Duration::from_millis(60);
 /// How old an engine's report may be, beyond which it shows an order that was accepted.
 const REPORT_LAG: Duration = Duration::from_millis(400);
+/// A report that shows fewer orders than are known counts from that long after the last one.
+const REPORT_LAG_MAX: Duration = Duration::from_millis(1_000);
+/// How long runs last that began under a grant, beyond its end.
+const RUN_TIME: Duration = Duration::from_millis(1_000);
+/// Before an engine is asked that carries out another order, or counts otherwise.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
 /// Before an order is repeated that the engine refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 /// A load that is not complete after that long was lost; the engine is asked what it holds.
@@ -88,6 +94,8 @@
     Ready(u64),
     /// It is being loaded, or waits for that.
     Loading,
+    /// An older version is in use here; another engine has the new one sooner.
+    InUse,
     /// The engine can't hold it.
     Impossible,
 }
@@ -151,6 +159,7 @@
     demand: DemandMap<AdapterId>,
     recent: std::collections::VecDeque<AdapterId>,
     under_way: Option<Order>,
+    accepted_at: Duration,
     observe_at: Option<Duration>,
     resume_at: Duration,
     load_time: Duration,
@@ -172,6 +181,7 @@
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             recent: std::collections::VecDeque::new(),
             under_way: None,
+            accepted_at: Duration::ZERO,
             observe_at: Some(Duration::ZERO),
             resume_at: Duration::ZERO,
             load_time: LOAD_TIME,
@@ -188,7 +198,8 @@
         coming: &[(AdapterId, u64)],
         now: Duration,
     ) {
-        if self.sequence.is_some_and(|known| sequence < known) {
+        let is_recent = now < self.accepted_at + REPORT_LAG_MAX;
+        if is_recent && self.sequence.is_some_and(|known| sequence < known) {
             self.observe_at = Some(now + REPORT_LAG);
             return;
         }
@@ -196,8 +207,19 @@
         self.observe_at = None;
         let old = std::mem::take(&mut self.places);
         let mut place = |id: AdapterId, version: u64, state: State| {
-            let granted_until = old.get(&id).map_or(Duration::ZERO, |p| p.granted_until);
-            self.places.insert(id, Place { version, state, granted_until });
+            let known = old.get(&id);
+            let granted_until = known.map_or(Duration::ZERO, |p| p.granted_until);
+            // A replacement under way still shows the older version.
+            let place = match known {
+                Some(Place { version: newer, state: State::Loading { since, .. }, .. })
+                    if *newer > version && now < *since + LOAD_TIMEOUT =>
+                {
+                    let state = State::Loading { since: *since, ask_at: now };
+                    Place { version: *newer, state, granted_until }
+                }
+                _ => Place { version, state, granted_until },
+            };
+            self.places.insert(id, place);
         };
         for held in models {
             for adapter in &held.adapters {
@@ -235,11 +257,16 @@
         let version = version.max(self.newest.get(id).copied().unwrap_or(0));
         if let Some(place) = self.places.get_mut(id)
             && place.state == State::Ready
-            && place.version >= version
             && self.model_state == ModelState::Ready
         {
-            place.granted_until = place.granted_until.max(now + grant);
-            return Readiness::Ready(place.version);
+            if place.version >= version {
+                place.granted_until = place.granted_until.max(now + grant);
+                return Readiness::Ready(place.version);
+            }
+            // A replacement would wait for the runs, and every other order for it.
+            if now < place.granted_until + RUN_TIME {
+                return Readiness::InUse;
+            }
         }
         let since = self.wanted.get(id).map_or(now, |wanted| wanted.since);
         let wanted = Wanted { version, since, until: now + WANTED_FOR };
@@ -247,18 +274,12 @@
         Readiness::Loading
     }
 
-    /// Takes over that a newer version of an adapter exists; one that is held is replaced.
-    pub fn on_version(&mut self, id: &AdapterId, version: u64, now: Duration) {
-        if id.model != self.model {
-            return;
-        }
+    /// Takes over that a newer version of an adapter exists.
+    ///
+    /// One that is held is replaced when it is next asked for and no longer in use.
+    pub fn on_version(&mut self, id: &AdapterId, version: u64) {
         let newest = self.newest.entry(id.clone()).or_default();
         *newest = version.max(*newest);
-        let is_old = self.places.get(id).is_some_and(|place| place.version < version);
-        if is_old {
-            let wanted = Wanted { version, since: now, until: now + LOAD_TIMEOUT };
-            self.wanted.insert(id.clone(), wanted);
-        }
     }
 
     /// Returns what is known of an adapter without asking for it.
@@ -306,9 +327,7 @@
         match result {
             OrderResult::Accepted => self.on_accepted(&order, now),
             OrderResult::Holds => self.on_holds(&order, now),
-            OrderResult::Conflict => {
-                self.observe_at = Some(now + REPORT_LAG);
-            }
+            OrderResult::Conflict => self.observe_at = Some(now + CONFLICT_PAUSE),
             OrderResult::Refused => self.resume_at = now + REFUSED_PAUSE,
             OrderResult::Lost => {
                 // It may still take effect: the place counts, and the report decides.
@@ -335,6 +354,7 @@
     fn on_accepted(&mut self, order: &Order, now: Duration) {
         if !self.is_question(order) {
             self.sequence = Some(order.expected + 1);
+            self.accepted_at = now;
         }
         match &order.kind {
             OrderKind::LoadModel => {
@@ -385,6 +405,7 @@
         if matches!(order.kind, OrderKind::Unload { .. }) && !self.is_question(order) {
             // An adapter that no request uses is unloaded at once, and the order counts.
             self.sequence = Some(order.expected + 1);
+            self.accepted_at = now;
         }
         match &order.kind {
             OrderKind::LoadModel => self.model_state = ModelState::Ready,
