Load a missing adapter at one engine, for requests that still wait

Cause: a request whose load took over a second asked the next engine, which fetched the same adapter again; with 3,642 fetches in a minute the weight store was full. Change: requests wait at the adapter's engine; loads go to those that still wait; adapters at hand go first, at most three fetches an engine.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -10,8 +10,9 @@
 use crate::prelude::*;
 use crate::state::Entry;
 
-/// How long a request waits for an adapter's load before another engine is tried.
-const LOAD_WAIT: Duration = Duration::from_millis(1_000);
+/// How long a request waits for an adapter's load. Another engine is no way out while
+/// the weight store is crowded: a second load would crowd it more.
+const LOAD_WAIT: Duration = Duration::from_millis(2_500);
 /// Time kept for the run itself.
 const RUN_RESERVE: Duration = Duration::from_millis(100);
 /// How long an older version may still be used: the time in which owners replace it.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -85,6 +85,7 @@
             owned.ledger.borrow_mut().on_missing(entry.clock.now());
         }
         let mut uses = ask.uses;
+        let _waiter = Waiter::start(&owned, &id, entry.clock.now());
         loop {
             let changed = owned.changed.notified();
             tokio::pin!(changed);
@@ -107,6 +108,25 @@
     }
 }
 
+/// Counts a request that waits for an adapter.
+struct Waiter {
+    owned: Rc<Owned>,
+    id: AdapterId,
+}
+
+impl Waiter {
+    fn start(owned: &Rc<Owned>, id: &AdapterId, now: Duration) -> Self {
+        owned.ledger.borrow_mut().wait(id, now);
+        Waiter { owned: owned.clone(), id: id.clone() }
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        self.owned.ledger.borrow_mut().leave(&self.id);
+    }
+}
+
 /// Makes the ledger of an engine; it is to hold the model that most engines hold.
 fn new_ledger(entry: &Entry, server: &Server) -> Option<EngineLedger> {
     let catalog = entry.catalog.borrow().clone()?;
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -14,6 +14,8 @@
 
 /// Adapter loads under way at one engine, as engines take no more.
 const LOADS_MAX: usize = 4;
+/// Of these, loads from the weight store, which slows all engines' loads when it is crowded.
+const FETCHES_MAX: usize = 3;
 /// How long an adapter load takes until one was measured.
 const LOAD_TIME: Duration = Duration::from_millis(240);
 /// How long a load of an adapter takes that the engine has held lately.
@@ -39,8 +41,6 @@
 const DEMAND_ENTRIES_MAX: usize = 4_096;
 /// Adapters that an engine keeps at hand after they were unloaded.
 const RECENT_MAX: usize = 96;
-/// How long a request for an adapter keeps it wanted if nobody asks again.
-const WANTED_FOR: Duration = Duration::from_secs(3);
 
 /// Tells what an order does.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -136,7 +136,8 @@
 struct Wanted {
     version: u64,
     since: Duration,
-    until: Duration,
+    /// Requests that wait for it.
+    waiting: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -239,7 +240,25 @@
         }
     }
 
+    /// Counts a request that waits for an adapter until [`EngineLedger::leave`].
+    pub fn wait(&mut self, id: &AdapterId, now: Duration) {
+        let fresh = Wanted { version: 0, since: now, waiting: 0 };
+        self.wanted.entry(id.clone()).or_insert(fresh).waiting += 1;
+    }
+
+    /// Counts off a request that no longer waits for an adapter.
+    pub fn leave(&mut self, id: &AdapterId) {
+        if let Some(wanted) = self.wanted.get_mut(id) {
+            wanted.waiting = wanted.waiting.saturating_sub(1);
+            if wanted.waiting == 0 {
+                self.wanted.remove(id);
+            }
+        }
+    }
+
     /// Asks for an adapter in at least `version`; `uses` requests were made of it.
+    ///
+    /// It is loaded only for requests counted by [`EngineLedger::wait`].
     pub fn want(
         &mut self,
         id: &AdapterId,
@@ -268,9 +287,9 @@
                 return Readiness::InUse;
             }
         }
-        let since = self.wanted.get(id).map_or(now, |wanted| wanted.since);
-        let wanted = Wanted { version, since, until: now + WANTED_FOR };
-        self.wanted.insert(id.clone(), wanted);
+        if let Some(wanted) = self.wanted.get_mut(id) {
+            wanted.version = wanted.version.max(version);
+        }
         Readiness::Loading
     }
 
@@ -419,7 +438,6 @@
                 }
                 let version = version.unwrap_or_else(|| self.version_wanted(&id));
                 self.recent.retain(|other| *other != id);
-                self.wanted.remove(&id);
                 let granted_until = Duration::ZERO;
                 self.places.insert(id, Place { version, state: State::Ready, granted_until });
             }
@@ -456,17 +474,24 @@
             ModelState::Loading { ask_at } => return Err(Some(ask_at)),
             ModelState::Ready => {}
         }
-        self.wanted.retain(|_, wanted| wanted.until > now);
         if let Some(kind) = self.next_question(now) {
             return Ok(kind);
         }
-        let loading = self.places.values().filter(|p| matches!(p.state, State::Loading { .. }));
-        if loading.count() < LOADS_MAX
-            && let Some(kind) = self.next_load(now)
-        {
-            return Ok(kind);
+        match self.next_load(now) {
+            Some(kind) => Ok(kind),
+            None => Err(self.wake_at()),
         }
-        Err(self.wake_at())
+    }
+
+    /// Tells whether another load may start, and whether it may be one from the store.
+    fn room_for_loads(&self) -> (bool, bool) {
+        let loading = self.places.iter().filter(|(_, p)| matches!(p.state, State::Loading { .. }));
+        let (mut loads, mut fetches) = (0, 0);
+        for (id, _) in loading {
+            loads += 1;
+            fetches += usize::from(!self.recent.contains(id));
+        }
+        (loads < LOADS_MAX, loads < LOADS_MAX && fetches < FETCHES_MAX)
     }
 
     /// Asks whether a load or unload is complete, by ordering it again.
@@ -488,20 +513,24 @@
         }
     }
 
-    /// Loads the adapter that has waited longest, after making room for it.
+    /// Loads the adapter that has waited longest, after making room for it; one at hand
+    /// goes before those that come from the store.
     fn next_load(&self, now: Duration) -> Option<OrderKind> {
-        let mut waiting: Vec<(&AdapterId, &Wanted)> = self
-            .wanted
-            .iter()
-            .filter(|(id, wanted)| match self.places.get(*id) {
-                None => true,
-                Some(place) => place.state == State::Ready && place.version < wanted.version,
-            })
-            .collect();
-        waiting.sort_by(|a, b| a.1.since.cmp(&b.1.since).then(a.0.cmp(b.0)));
-        let (id, wanted) = waiting.first()?;
-        let is_held = self.places.contains_key(*id);
-        if !is_held && self.places.len() >= self.capacity() {
+        let (may_load, may_fetch) = self.room_for_loads();
+        let is_missing = |id: &AdapterId, wanted: &Wanted| match self.places.get(id) {
+            None => true,
+            Some(place) => place.state == State::Ready && place.version < wanted.version,
+        };
+        let rank = |(id, wanted): &(&AdapterId, &Wanted)| {
+            (!self.recent.contains(*id), wanted.since, (*id).clone())
+        };
+        let waiting = self.wanted.iter().filter(|(id, wanted)| is_missing(id, wanted));
+        let (id, wanted) = waiting.min_by_key(rank)?;
+        let is_at_hand = self.recent.contains(id);
+        if !(if is_at_hand { may_load } else { may_fetch }) {
+            return None;
+        }
+        if !self.places.contains_key(id) && self.places.len() >= self.capacity() {
             return self.victim(now).map(|adapter| OrderKind::Unload { adapter });
         }
         let version = (wanted.version > 0).then_some(wanted.version);
