Let an engine's owner know which adapters are in use, and evict only others

Cause: an unload of an adapter in use is accepted, waits for its runs, and holds up every other order to the engine. Grants that lasted 1.5 s kept more adapters granted than an engine has places, so victims were often in use. Change: a request asks its engine's owner each time and tells it when it has ended; an unload goes only to an adapter that no request uses. An order under way that a report does not show yet stays under way. A server that began to leave during the wait for a load is not sent the request. Ruled out: the weight store (27 fetches a second of 64).

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -1,12 +1,15 @@
 //! Whether a request for an adapter may go to an engine.
 //!
-//! With a grant in force it may at once. Else the host that owns the engine's orders
-//! is asked, which loads the adapter. Without an answer of an owner, what the list of
-//! servers shows decides: engines refuse what they do not hold.
+//! The host that owns the engine's orders is asked; it loads the adapter, and keeps it
+//! there until it is told that the request has ended. Without an answer of an owner,
+//! what was granted last and what the list of servers shows decide: engines refuse what
+//! they do not hold.
 
 use guavaspread_fleet::{AdapterId, Grant, Server};
 
 use crate::message::{Answer, Ask};
+use crate::orders::Use;
+use crate::peers::Granted;
 use crate::prelude::*;
 use crate::state::Entry;
 
@@ -18,11 +21,20 @@
 /// How long an older version may still be used: the time in which owners replace it.
 const OLD_VERSION_FOR: Duration = Duration::from_millis(2_500);
 
+/// How long a grant is remembered, for when its owner does not answer.
+const GRANT_KEPT_FOR: Duration = Duration::from_secs(5);
+
+/// Keeps an adapter on its engine until the request ends.
+#[derive(Default)]
+pub(crate) struct Kept {
+    _here: Option<Use>,
+    _at_peer: Option<Granted>,
+}
+
 /// Tells whether a server may be sent the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Access {
     /// It may, for this version of the adapter if one is known.
-    Granted(Option<u64>),
+    Granted(Option<u64>, Kept),
     /// It may not.
     Denied,
 }
@@ -37,10 +49,6 @@
 ) -> Access {
     let now = entry.clock.now();
     let (newest, version_min) = versions(entry, id, now);
-    let granted = entry.grants.borrow_mut().get(&server.id, id, version_min, now);
-    if let Some(grant) = granted {
-        return Access::Granted(Some(grant.version));
-    }
     let left = until.saturating_sub(now + RUN_RESERVE).min(LOAD_WAIT);
     let ask = Ask {
         number: 0,
@@ -48,21 +56,19 @@
         model: id.model.to_string(),
         adapter: id.adapter.to_string(),
         version: newest,
-        uses: entry.grants.borrow_mut().take_uses(&server.id, id) + 1,
         wait_ms: left.as_millis() as u32,
         missed,
     };
     match ask_owner(entry, server, ask).await {
-        Some(Answer::Granted { version, grant_ms }) => {
+        Some((Answer::Granted { version }, kept)) => {
             let now = entry.clock.now();
-            let until = now + Duration::from_millis(grant_ms.into());
-            let grant = Grant { version, until };
+            let grant = Grant { version, until: now + GRANT_KEPT_FOR };
             entry.grants.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
-            Access::Granted(Some(version))
+            Access::Granted(Some(version), kept)
         }
-        Some(Answer::NotYet | Answer::Impossible) => Access::Denied,
-        Some(Answer::NotOwner) | None if missed => Access::Denied,
-        Some(Answer::NotOwner) | None => listed(entry, server, id, version_min),
+        Some((Answer::NotYet | Answer::Impossible, _)) => Access::Denied,
+        Some((Answer::NotOwner, _)) | None if missed => Access::Denied,
+        Some((Answer::NotOwner, _)) | None => remembered(entry, server, id, version_min),
     }
 }
 
@@ -75,31 +81,36 @@
     }
 }
 
-async fn ask_owner(entry: &Rc<Entry>, server: &Arc<Server>, ask: Ask) -> Option<Answer> {
+async fn ask_owner(entry: &Rc<Entry>, server: &Arc<Server>, ask: Ask) -> Option<(Answer, Kept)> {
     let owner = {
         let leases = entry.leases.borrow();
         leases.holder(&server.id).map(|(holder, address)| (holder.clone(), address))
     };
     let (holder, address) = owner?;
     if holder == entry.holder {
-        return Some(entry.orders.answer(entry, &ask).await);
+        let (answer, here) = entry.orders.answer(entry, &ask).await;
+        return Some((answer, Kept { _here: here, _at_peer: None }));
     }
-    let answer = entry.peers.ask(address, ask).await;
-    if matches!(answer, Some(Answer::NotOwner)) {
+    let (answer, at_peer) = entry.peers.ask(address, ask).await?;
+    if answer == Answer::NotOwner {
         entry.leases.borrow_mut().on_doubt();
         entry.leases_changed.notify_waiters();
     }
-    answer
+    Some((answer, Kept { _here: None, _at_peer: at_peer }))
 }
 
-/// Goes by the list of servers, which lags.
-fn listed(entry: &Entry, server: &Arc<Server>, id: &AdapterId, version_min: u64) -> Access {
+/// Goes by the last grant, or by the list of servers, which lags.
+fn remembered(entry: &Entry, server: &Arc<Server>, id: &AdapterId, version_min: u64) -> Access {
+    let now = entry.clock.now();
+    if let Some(grant) = entry.grants.borrow().get(&server.id, id, version_min, now) {
+        return Access::Granted(Some(grant.version), Kept::default());
+    }
     let roster = entry.roster.borrow();
     let current = roster.get(&server.id).unwrap_or(server);
     let held = current.models.iter().filter(|model| model.name == id.model);
     let mut adapters = held.flat_map(|model| model.adapters.iter());
     match adapters.find(|a| a.name == id.adapter && a.version >= version_min) {
-        Some(adapter) => Access::Granted(Some(adapter.version)),
+        Some(adapter) => Access::Granted(Some(adapter.version), Kept::default()),
         None => Access::Denied,
     }
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -6,6 +6,15 @@
 
 use serde::{Deserialize, Serialize};
 
+/// What an entry host sends to the owner of an engine's orders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToOwner {
+    /// Asks for the use of an adapter.
+    Ask(Ask),
+    /// Ends the use granted to the question of that number.
+    Done(u32),
+}
+
 /// Asks for the use of an adapter on an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -19,8 +28,6 @@
     pub adapter: String,
     /// The lowest version that will do.
     pub version: u64,
-    /// Requests for it since the last question.
-    pub uses: u32,
     /// How long the answer may wait for a load, in milliseconds.
     pub wait_ms: u32,
     /// Whether the engine refused a request for it just now.
@@ -39,12 +46,10 @@
 /// Tells whether an adapter may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    /// It is loaded.
+    /// It is loaded, and stays while the request runs.
     Granted {
         /// The version loaded.
         version: u64,
-        /// How long requests may go there without asking again, in milliseconds.
-        grant_ms: u32,
     },
     /// It was not loaded in time.
     NotYet,
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -8,8 +8,6 @@
 use crate::prelude::*;
 use crate::state::Entry;
 
-/// How long a host may send requests for an adapter without asking again.
-const GRANT: Duration = Duration::from_millis(1_500);
 /// Between two looks at an engine on which nothing happens.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -73,32 +71,31 @@
         }
     }
 
-    /// Answers whether an adapter may be used, once it is loaded.
-    pub(crate) async fn answer(&self, entry: &Rc<Entry>, ask: &Ask) -> Answer {
+    /// Answers whether an adapter may be used, once it is loaded; it stays while the use
+    /// returned is kept.
+    pub(crate) async fn answer(&self, entry: &Rc<Entry>, ask: &Ask) -> (Answer, Option<Use>) {
         let owned = self.engines.borrow().get(&*ask.engine).map(|running| running.owned.clone());
         let Some(owned) = owned else {
-            return Answer::NotOwner;
+            return (Answer::NotOwner, None);
         };
         let id = AdapterId { model: (*ask.model).into(), adapter: (*ask.adapter).into() };
         let until = entry.clock.now() + Duration::from_millis(ask.wait_ms.into());
         if ask.missed {
             owned.ledger.borrow_mut().on_missing(entry.clock.now());
         }
-        let mut uses = ask.uses;
         let _waiter = Waiter::start(&owned, &id, entry.clock.now());
         loop {
             let changed = owned.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = entry.clock.now();
-            let readiness = owned.ledger.borrow_mut().want(&id, ask.version, uses, GRANT, now);
-            uses = 0;
+            let readiness = owned.ledger.borrow_mut().want(&id, ask.version);
             match readiness {
                 Readiness::Ready(version) => {
-                    return Answer::Granted { version, grant_ms: GRANT.as_millis() as u32 };
+                    return (Answer::Granted { version }, Some(Use::start(&owned, &id)));
                 }
-                Readiness::Impossible | Readiness::InUse => return Answer::Impossible,
-                Readiness::Loading if now >= until => return Answer::NotYet,
+                Readiness::Impossible | Readiness::InUse => return (Answer::Impossible, None),
+                Readiness::Loading if now >= until => return (Answer::NotYet, None),
                 Readiness::Loading => owned.wanted.notify_one(),
             }
             let left = until.saturating_sub(now).min(IDLE_INTERVAL);
@@ -108,6 +105,26 @@
     }
 }
 
+/// Keeps an adapter on its engine while a request runs on it.
+pub(crate) struct Use {
+    owned: Rc<Owned>,
+    id: AdapterId,
+}
+
+impl Use {
+    fn start(owned: &Rc<Owned>, id: &AdapterId) -> Self {
+        owned.ledger.borrow_mut().begin(id);
+        Use { owned: owned.clone(), id: id.clone() }
+    }
+}
+
+impl Drop for Use {
+    fn drop(&mut self) {
+        self.owned.ledger.borrow_mut().end(&self.id);
+        self.owned.wanted.notify_one();
+    }
+}
+
 /// Counts a request that waits for an adapter.
 struct Waiter {
     owned: Rc<Owned>,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -8,7 +8,8 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::channel::{connect, set_options};
-use crate::message::{Answer, Ask, Reply};
+use crate::message::{Answer, Ask, Reply, ToOwner};
+use crate::orders::Use;
 use crate::prelude::*;
 use crate::state::Entry;
 
@@ -19,22 +20,48 @@
 /// How long an answer may take beyond the wait that the question allows.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
-type Question = (Ask, oneshot::Sender<Answer>);
+enum Outgoing {
+    Ask(Ask, oneshot::Sender<(Answer, u32)>),
+    Done(u32),
+}
 
 /// Keeps a connection to each peer that was asked.
 #[derive(Default)]
 pub(crate) struct Peers {
-    links: RefCell<HashMap<SocketAddr, mpsc::Sender<Question>>>,
+    links: RefCell<HashMap<SocketAddr, mpsc::Sender<Outgoing>>>,
+}
+
+/// Tells the owner of an engine's orders, when dropped, that a request has ended.
+pub(crate) struct Granted {
+    link: mpsc::Sender<Outgoing>,
+    number: u32,
+}
+
+impl Drop for Granted {
+    fn drop(&mut self) {
+        if self.link.try_send(Outgoing::Done(self.number)).is_err() {
+            log::debug!("an owner was not told of a request's end; its connection is gone");
+        }
+    }
 }
 
 impl Peers {
     /// Asks the host at `address`; `None` if it does not answer in time.
-    pub(crate) async fn ask(self: &Rc<Self>, address: SocketAddr, ask: Ask) -> Option<Answer> {
+    pub(crate) async fn ask(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        ask: Ask,
+    ) -> Option<(Answer, Option<Granted>)> {
         let limit = Duration::from_millis(ask.wait_ms.into()) + ANSWER_MARGIN;
         let (reply, answer) = oneshot::channel();
-        self.link(address).try_send((ask, reply)).ok()?;
+        let link = self.link(address);
+        link.try_send(Outgoing::Ask(ask, reply)).ok()?;
         match tokio::time::timeout(limit, answer).await {
-            Ok(answer) => answer.ok(),
+            Ok(answer) => {
+                let (answer, number) = answer.ok()?;
+                let granted = matches!(answer, Answer::Granted { .. });
+                Some((answer, granted.then(|| Granted { link, number })))
+            }
             Err(_) => {
                 // The connection may have gone silent; the next question opens another.
                 log::warn!("entry host {address} did not answer in {} ms", limit.as_millis());
@@ -44,7 +71,7 @@
         }
     }
 
-    fn link(self: &Rc<Self>, address: SocketAddr) -> mpsc::Sender<Question> {
+    fn link(self: &Rc<Self>, address: SocketAddr) -> mpsc::Sender<Outgoing> {
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&address).filter(|link| !link.is_closed()) {
             return link.clone();
@@ -57,7 +84,7 @@
 }
 
 /// Drives one connection until it breaks or its last user is gone.
-async fn run_link(address: SocketAddr, mut questions: mpsc::Receiver<Question>) {
+async fn run_link(address: SocketAddr, mut outgoing: mpsc::Receiver<Outgoing>) {
     let stream = match connect(address).await {
         Ok(stream) => stream,
         Err(e) => {
@@ -66,31 +93,39 @@
         }
     };
     let mut framed = Framed::new(stream, codec());
-    let mut open: HashMap<u32, oneshot::Sender<Answer>> = HashMap::new();
+    let mut open: HashMap<u32, oneshot::Sender<(Answer, u32)>> = HashMap::new();
     let mut number: u32 = 0;
     loop {
         tokio::select! {
-            question = questions.recv() => {
-                let Some((mut ask, reply)) = question else { return };
-                number = number.wrapping_add(1);
-                ask.number = number;
-                open.insert(number, reply);
-                let Ok(frame) = postcard::to_stdvec(&ask) else { continue };
+            message = outgoing.recv() => {
+                let message = match message {
+                    None => return,
+                    Some(Outgoing::Done(number)) => ToOwner::Done(number),
+                    Some(Outgoing::Ask(mut ask, reply)) => {
+                        number = number.wrapping_add(1);
+                        ask.number = number;
+                        open.insert(number, reply);
+                        ToOwner::Ask(ask)
+                    }
+                };
+                let Ok(frame) = postcard::to_stdvec(&message) else { continue };
                 if framed.send(Bytes::from(frame)).await.is_err() {
                     return;
                 }
             }
             frame = framed.next() => {
                 let Some(Ok(frame)) = frame else { return };
-                match postcard::from_bytes::<Reply>(&frame) {
-                    Ok(reply) => {
-                        if let Some(asker) = open.remove(&reply.number) {
-                            // An asker that has given up needs no answer.
-                            let _ = asker.send(reply.answer);
-                        }
-                    }
-                    Err(e) => {
-                        log::warn!("entry host {address} sent what can't be read: {e}");
+                let Ok(Reply { number, answer }) = postcard::from_bytes::<Reply>(&frame) else {
+                    log::warn!("entry host {address} sent what can't be read");
+                    return;
+                };
+                let unwanted = match open.remove(&number) {
+                    Some(asker) => asker.send((answer, number)).is_err(),
+                    None => true,
+                };
+                if unwanted && matches!(answer, Answer::Granted { .. }) {
+                    let done = postcard::to_stdvec(&ToOwner::Done(number)).unwrap_or_default();
+                    if framed.send(Bytes::from(done)).await.is_err() {
                         return;
                     }
                 }
@@ -128,19 +163,33 @@
             }
         }
     });
+    // What this peer's requests use; all of it ends with the connection.
+    let uses: Rc<RefCell<HashMap<u32, Use>>> = Rc::default();
     while let Some(Ok(frame)) = frames.next().await {
-        let Ok(ask) = postcard::from_bytes::<Ask>(&frame) else {
-            log::warn!("a peer sent what can't be read");
-            break;
-        };
-        let (entry, tx) = (entry.clone(), tx.clone());
-        tokio::task::spawn_local(async move {
-            let number = ask.number;
-            let answer = entry.orders.answer(&entry, &ask).await;
-            // A peer that has gone needs no answer.
-            let _ = tx.send(Reply { number, answer }).await;
-        });
+        match postcard::from_bytes::<ToOwner>(&frame) {
+            Ok(ToOwner::Ask(ask)) => {
+                let (entry, tx, uses) = (entry.clone(), tx.clone(), uses.clone());
+                tokio::task::spawn_local(async move {
+                    let number = ask.number;
+                    let (answer, granted) = entry.orders.answer(&entry, &ask).await;
+                    if let Some(granted) = granted {
+                        uses.borrow_mut().insert(number, granted);
+                    }
+                    if tx.send(Reply { number, answer }).await.is_err() {
+                        uses.borrow_mut().remove(&number);
+                    }
+                });
+            }
+            Ok(ToOwner::Done(number)) => {
+                uses.borrow_mut().remove(&number);
+            }
+            Err(e) => {
+                log::warn!("a peer sent what can't be read: {e}");
+                break;
+            }
+        }
     }
+    uses.borrow_mut().clear();
     drop(tx);
     // The writer ends with its connection.
     let _ = writer.await;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use crate::access::{self, Access};
+use crate::access::{self, Access, Kept};
 use crate::border::{AnswerHead, Asked, Sending};
 use crate::channel::{AnswerBody, Answered, SendError};
 use crate::prelude::*;
@@ -124,12 +124,13 @@
 struct InFlight {
     entry: Rc<Entry>,
     key: PlacementKey,
+    kept: Kept,
 }
 
 impl InFlight {
     fn start(entry: &Rc<Entry>, key: PlacementKey) -> Self {
         entry.placement.borrow_mut().on_sent(key);
-        InFlight { entry: entry.clone(), key }
+        InFlight { entry: entry.clone(), key, kept: Kept::default() }
     }
 }
 
@@ -244,34 +245,40 @@
                 record.add(Step::NoServer);
                 return answer_refusal(record, &no_server(&attempts));
             };
-            let version = match self.access(&server, missed, &mut record).await {
-                Access::Granted(version) => version,
+            let (version, kept) = match self.access(&server, missed, &mut record).await {
+                Access::Granted(version, kept) => (version, kept),
                 Access::Denied => {
                     tried.push(server.id.clone());
                     missed = false;
                     continue;
                 }
             };
+            if !self.is_ready(&server) {
+                // It began to leave while the request waited for a load.
+                tried.push(server.id.clone());
+                continue;
+            }
             if attempts.sent() > 0 && !self.entry.try_retry(&self.service) {
                 record.add(Step::NoBudget);
                 return answer_refusal(record, &budget_spent(&attempts));
             }
             let attempt = self.attempt(key, &server, version, &mut attempts, &mut record).await;
-            let (outcome, kept) = match attempt {
-                Attempt::Answered(answered, in_flight) => {
+            let (outcome, failure) = match attempt {
+                Attempt::Answered(answered, mut in_flight) => {
+                    in_flight.kept = kept;
                     return self.pass_on(*answered, in_flight, record);
                 }
                 Attempt::Again => (Outcome::Refused, None),
-                Attempt::Failed(outcome, kept) => {
+                Attempt::Failed(outcome, failure) => {
                     tried.push(server.id.clone());
-                    (outcome, kept)
+                    (outcome, failure)
                 }
             };
-            missed = kept.is_none() && outcome == Outcome::Refused;
+            missed = failure.is_none() && outcome == Outcome::Refused;
             match attempts.after(&self.route, outcome) {
                 Verdict::TryNext => {}
                 Verdict::NotRun => return answer_refusal(record, &no_server(&attempts)),
-                Verdict::MayHaveRun => return self.give_up(kept, record),
+                Verdict::MayHaveRun => return self.give_up(failure, record),
             }
         }
     }
@@ -290,6 +297,11 @@
         }
     }
 
+    fn is_ready(&self, server: &Server) -> bool {
+        let roster = self.entry.roster.borrow();
+        roster.get(&server.id).is_some_and(|now| now.is_ready() && now.born == server.born)
+    }
+
     fn adapter(&self) -> Option<AdapterId> {
         let model = self.asked.model.clone()?;
         self.asked.adapter.clone().map(|adapter| AdapterId { model, adapter })
@@ -298,14 +310,14 @@
     /// Waits until the server may be sent the request.
     async fn access(&self, server: &Arc<Server>, missed: bool, record: &mut Record) -> Access {
         let Some(id) = self.adapter() else {
-            return Access::Granted(None);
+            return Access::Granted(None, Kept::default());
         };
         let started = self.entry.clock.now();
         let access = access::request(&self.entry, server, &id, missed, self.until).await;
         let took = self.entry.clock.now().saturating_sub(started);
         if took > Duration::ZERO {
-            let version = match access {
-                Access::Granted(version) => version,
+            let version = match &access {
+                Access::Granted(version, _) => *version,
                 Access::Denied => None,
             };
             let took_ms = took.as_millis() as u64;
@@ -483,8 +495,8 @@
     }
 
     /// Answers that the request may have run; a server's own failure is passed on.
-    fn give_up(self, kept: Option<Box<Answered>>, record: Record) -> Response<RelayBody> {
-        if let Some(answered) = kept {
+    fn give_up(self, failure: Option<Box<Answered>>, record: Record) -> Response<RelayBody> {
+        if let Some(answered) = failure {
             let key = PlacementKey::default();
             let in_flight = InFlight::start(&self.entry, key);
             return self.pass_on(*answered, in_flight, record);
--- a/crates/fleet/src/grants.rs
+++ b/crates/fleet/src/grants.rs
@@ -1,20 +1,19 @@
 //! What an entry host knows of where adapters are loaded.
 //!
-//! The owner of an engine's orders grants the use of an adapter on it for a while.
-//! A grant is a hint: an engine refuses what it does not hold, and the request then
-//! asks its owner again.
+//! The owner of an engine's orders grants the use of an adapter on it. What was granted
+//! last is a hint for when no owner answers: an engine refuses what it does not hold.
 
 use crate::prelude::*;
 use crate::roster::AdapterId;
 
 const GRANTS_MAX: usize = 16_384;
 
-/// Allows requests for one adapter to go straight to an engine.
+/// Remembers that an engine held an adapter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
     /// The version loaded there.
     pub version: u64,
-    /// When the owner is to be asked again.
+    /// When that is too old to go by.
     pub until: Duration,
 }
 
@@ -22,38 +21,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct Grants {
     grants: HashMap<(Arc<str>, AdapterId), Grant>,
-    /// Requests sent under a grant since its owner was last asked.
-    uses: HashMap<(Arc<str>, AdapterId), u32>,
 }
 
 impl Grants {
-    /// Uses the grant in force at `now` for an adapter at least as new as `version_min`.
+    /// Returns what is remembered at `now` for an adapter at least as new as `version_min`.
     pub fn get(
-        &mut self,
+        &self,
         server: &Arc<str>,
         adapter: &AdapterId,
         version_min: u64,
         now: Duration,
     ) -> Option<Grant> {
-        let key = (server.clone(), adapter.clone());
-        let grant = *self.grants.get(&key)?;
-        if grant.until <= now || grant.version < version_min {
-            return None;
-        }
-        *self.uses.entry(key).or_default() += 1;
-        Some(grant)
-    }
-
-    /// Returns how often a grant was used since this was last asked.
-    pub fn take_uses(&mut self, server: &Arc<str>, adapter: &AdapterId) -> u32 {
-        self.uses.remove(&(server.clone(), adapter.clone())).unwrap_or(0)
+        let grant = self.grants.get(&(server.clone(), adapter.clone()))?;
+        (grant.until > now && grant.version >= version_min).then_some(*grant)
     }
 
     /// Remembers a grant.
     pub fn insert(&mut self, server: Arc<str>, adapter: AdapterId, grant: Grant, now: Duration) {
         if self.grants.len() >= GRANTS_MAX {
             self.grants.retain(|_, grant| grant.until > now);
-            self.uses.clear();
         }
         self.grants.insert((server, adapter), grant);
     }
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -28,8 +28,6 @@
 const REPORT_LAG: Duration = Duration::from_millis(400);
 /// A report that shows fewer orders than are known counts from that long after the last one.
 const REPORT_LAG_MAX: Duration = Duration::from_millis(1_000);
-/// How long runs last that began under a grant, beyond its end.
-const RUN_TIME: Duration = Duration::from_millis(1_000);
 /// Before an engine is asked that carries out another order, or counts otherwise.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
 /// Before an order is repeated that the engine refused.
@@ -128,8 +126,6 @@
 struct Place {
     version: u64,
     state: State,
-    /// Until when entry hosts may send requests for it without asking.
-    granted_until: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -155,6 +151,8 @@
     model_state: ModelState,
     sequence: Option<u64>,
     places: HashMap<AdapterId, Place>,
+    /// Requests that may run on an adapter now.
+    in_use: HashMap<AdapterId, u32>,
     wanted: HashMap<AdapterId, Wanted>,
     newest: HashMap<AdapterId, u64>,
     demand: DemandMap<AdapterId>,
@@ -177,6 +175,7 @@
             model_state: ModelState::Absent,
             sequence: None,
             places: HashMap::new(),
+            in_use: HashMap::new(),
             wanted: HashMap::new(),
             newest: HashMap::new(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
@@ -208,17 +207,10 @@
         self.observe_at = None;
         let old = std::mem::take(&mut self.places);
         let mut place = |id: AdapterId, version: u64, state: State| {
-            let known = old.get(&id);
-            let granted_until = known.map_or(Duration::ZERO, |p| p.granted_until);
-            // A replacement under way still shows the older version.
-            let place = match known {
-                Some(Place { version: newer, state: State::Loading { since, .. }, .. })
-                    if *newer > version && now < *since + LOAD_TIMEOUT =>
-                {
-                    let state = State::Loading { since: *since, ask_at: now };
-                    Place { version: *newer, state, granted_until }
-                }
-                _ => Place { version, state, granted_until },
+            // An order that waits for runs is under way and not to be seen yet.
+            let place = match old.get(&id) {
+                Some(known) if is_pending(known, version, now) => known.clone(),
+                _ => Place { version, state },
             };
             self.places.insert(id, place);
         };
@@ -242,10 +234,26 @@
 
     /// Counts a request that waits for an adapter until [`EngineLedger::leave`].
     pub fn wait(&mut self, id: &AdapterId, now: Duration) {
+        self.demand.add(id, now);
         let fresh = Wanted { version: 0, since: now, waiting: 0 };
         self.wanted.entry(id.clone()).or_insert(fresh).waiting += 1;
     }
 
+    /// Counts a request that may run on an adapter until [`EngineLedger::end`].
+    pub fn begin(&mut self, id: &AdapterId) {
+        *self.in_use.entry(id.clone()).or_default() += 1;
+    }
+
+    /// Counts off a request that no longer runs on an adapter.
+    pub fn end(&mut self, id: &AdapterId) {
+        if let Some(count) = self.in_use.get_mut(id) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_use.remove(id);
+            }
+        }
+    }
+
     /// Counts off a request that no longer waits for an adapter.
     pub fn leave(&mut self, id: &AdapterId) {
         if let Some(wanted) = self.wanted.get_mut(id) {
@@ -256,34 +264,23 @@
         }
     }
 
-    /// Asks for an adapter in at least `version`; `uses` requests were made of it.
+    /// Asks for an adapter in at least `version`.
     ///
     /// It is loaded only for requests counted by [`EngineLedger::wait`].
-    pub fn want(
-        &mut self,
-        id: &AdapterId,
-        version: u64,
-        uses: u32,
-        grant: Duration,
-        now: Duration,
-    ) -> Readiness {
+    pub fn want(&mut self, id: &AdapterId, version: u64) -> Readiness {
         if id.model != self.model || self.capacity() == 0 {
             return Readiness::Impossible;
         }
-        for _ in 0..uses.max(1) {
-            self.demand.add(id, now);
-        }
         let version = version.max(self.newest.get(id).copied().unwrap_or(0));
-        if let Some(place) = self.places.get_mut(id)
+        if let Some(place) = self.places.get(id)
             && place.state == State::Ready
             && self.model_state == ModelState::Ready
         {
             if place.version >= version {
-                place.granted_until = place.granted_until.max(now + grant);
                 return Readiness::Ready(place.version);
             }
             // A replacement would wait for the runs, and every other order for it.
-            if now < place.granted_until + RUN_TIME {
+            if self.in_use.contains_key(id) {
                 return Readiness::InUse;
             }
         }
@@ -354,11 +351,7 @@
                     let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
                     let state = State::Loading { since: now, ask_at: now + REPORT_LAG };
                     let version = version.unwrap_or(0);
-                    self.places.entry(id).or_insert(Place {
-                        version,
-                        state,
-                        granted_until: Duration::ZERO,
-                    });
+                    self.places.entry(id).or_insert(Place { version, state });
                 }
                 self.observe_at = Some(now + REPORT_LAG);
             }
@@ -390,8 +383,7 @@
                     _ => (now, now + expected),
                 };
                 let state = State::Loading { since, ask_at };
-                let granted_until = Duration::ZERO;
-                self.places.insert(id, Place { version, state, granted_until });
+                self.places.insert(id, Place { version, state });
             }
             OrderKind::Unload { adapter } => {
                 let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
@@ -438,8 +430,7 @@
                 }
                 let version = version.unwrap_or_else(|| self.version_wanted(&id));
                 self.recent.retain(|other| *other != id);
-                let granted_until = Duration::ZERO;
-                self.places.insert(id, Place { version, state: State::Ready, granted_until });
+                self.places.insert(id, Place { version, state: State::Ready });
             }
             OrderKind::Unload { adapter } => {
                 let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
@@ -537,24 +528,21 @@
         Some(OrderKind::Load { adapter: id.adapter.clone(), version })
     }
 
-    /// Picks the adapter that makes way: the least wanted of those that nobody may use
-    /// without asking, or else of all.
+    /// Picks the adapter that makes way: the least wanted of those that no request uses.
+    ///
+    /// An unload of an adapter in use would hold up every other order until its runs end.
     fn victim(&self, now: Duration) -> Option<Arc<str>> {
         // One unload at a time makes room for one load.
         if self.places.values().any(|place| matches!(place.state, State::Unloading { .. })) {
             return None;
         }
-        let rank = |(id, place): &(&AdapterId, &Place)| {
-            (place.granted_until > now, self.demand.count(id, now))
-        };
-        let ready = self
-            .places
-            .iter()
-            .filter(|(id, place)| place.state == State::Ready && !self.wanted.contains_key(*id));
-        let coldest = ready.min_by(|a, b| {
-            let (a, b) = (rank(a), rank(b));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        let idle = self.places.iter().filter(|(id, place)| {
+            place.state == State::Ready
+                && !self.in_use.contains_key(*id)
+                && !self.wanted.contains_key(*id)
         });
+        let demand = |id: &AdapterId| self.demand.count(id, now);
+        let coldest = idle.min_by(|(a, _), (b, _)| demand(a).total_cmp(&demand(b)));
         coldest.map(|(id, _)| id.adapter.clone())
     }
 
@@ -566,3 +554,12 @@
         asks.min()
     }
 }
+
+/// Tells whether an order for a place is under way though the engine lists `version` there.
+fn is_pending(place: &Place, version: u64, now: Duration) -> bool {
+    match place.state {
+        State::Ready => false,
+        State::Loading { since, .. } => place.version > version && now < since + LOAD_TIMEOUT,
+        State::Unloading { .. } => true,
+    }
+}
