Stop in time under load, and notice at once that the store is back

Change: 2.6 s after SIGTERM new requests are refused as not run, so that those under way end; questions for changes wait 2 s at most, and not at all while the store is away.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -6,10 +6,10 @@
 use crate::prelude::*;
 use crate::state::Entry;
 
-/// How long the store may hold a question for changes of the control list.
-const CONTROL_WAIT: Duration = Duration::from_secs(5);
-/// How long the store may hold a question for changes of the list of servers.
-const SERVERS_WAIT: Duration = Duration::from_secs(2);
+/// How long the store may hold a question for changes. A question that is on its way
+/// when a cut begins blocks the list until it times out, which must not take much longer
+/// than the cut itself.
+const CHANGES_WAIT: Duration = Duration::from_secs(2);
 /// Between two questions for changes of the list of servers, which change all the time;
 /// a server that leaves must get no work two seconds later.
 const SERVERS_PAUSE: Duration = Duration::from_millis(700);
@@ -23,7 +23,11 @@
     loop {
         let listing = match after {
             None => entry.borders.store.list(feed).await,
-            Some(after) => entry.borders.store.changes(feed, after, wait(feed)).await,
+            Some(after) => {
+                // While the store is away, only whether it answers at all is of interest.
+                let wait = if away { Duration::ZERO } else { CHANGES_WAIT };
+                entry.borders.store.changes(feed, after, wait).await
+            }
         };
         let now = entry.clock.now();
         match listing {
@@ -55,13 +59,6 @@
     }
 }
 
-fn wait(feed: Feed) -> Duration {
-    match feed {
-        Feed::Control => CONTROL_WAIT,
-        Feed::Servers => SERVERS_WAIT,
-    }
-}
-
 fn on_listing(entry: &Rc<Entry>, feed: Feed, listing: Listing, whole: bool, now: Duration) {
     let mut changes = Vec::new();
     let mut servers = Vec::new();
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -92,6 +92,7 @@
         orders: Orders::default(),
         retries: RefCell::default(),
         stopping: watch::Sender::new(false),
+        closed: Cell::new(false),
         cfg: RefCell::new(cfg),
     })
 }
@@ -140,6 +141,9 @@
             log::warn!("stopping with {under_way} requests under way");
             return;
         }
+        // Requests that come all the same, as when the zone has no other host, would keep
+        // the process from its end.
+        entry.closed.set(waited >= NOTICE);
         if waited >= NOTICE && under_way == 0 {
             log::info!("stopped after {} ms", waited.as_millis());
             return;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -165,6 +165,10 @@
     body: Incoming,
     record: &mut Record,
 ) -> Result<Call, Refusal> {
+    if entry.closed.get() {
+        let refusal = Refusal::not_run(Code::Stopping, "the host is stopping");
+        return Err(refusal.retry_after_ms(RETRY_NOT_READY_MS));
+    }
     let Some(catalog) = entry.catalog.borrow().clone() else {
         let refusal = Refusal::not_run(Code::ConfigInDoubt, "no configuration is known here yet");
         return Err(refusal.retry_after_ms(RETRY_NOT_READY_MS));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) retries: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// Set once the process is asked to stop.
     pub(crate) stopping: watch::Sender<bool>,
+    /// Set once the process takes no more requests.
+    pub(crate) closed: Cell<bool>,
 }
 
 /// Entry hosts among which the retries beyond the share are divided.
