Repeat an order whose answer was lost, and load what is wanted most first

Change: such an order is repeated with the same count, then with the next one, which tells whether it had its effect; adapters are loaded by requests and time waited.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -37,6 +37,10 @@
 /// Half-life of the demand by which adapters make way.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(12);
 const DEMAND_ENTRIES_MAX: usize = 4_096;
+/// How often an order whose answer was lost is repeated before the engine is observed.
+const REPEATS_MAX: u32 = 4;
+/// What a second of waiting counts against further requests for an adapter.
+const WAITING_PER_S: f64 = 4.0;
 /// Adapters that an engine keeps at hand after they were unloaded.
 const RECENT_MAX: usize = 96;
 
@@ -136,6 +140,18 @@
     waiting: u32,
 }
 
+/// Holds an order whose answer was lost.
+///
+/// It is repeated as it was: if the engine accepts it, the first one had no effect and
+/// can't have one any more. If the engine's count differs, it is asked after with the
+/// count that the first one's effect would have left.
+#[derive(Clone, Debug)]
+struct Doubt {
+    order: Order,
+    had_effect: bool,
+    repeats: u32,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ModelState {
     Absent,
@@ -158,6 +174,7 @@
     demand: DemandMap<AdapterId>,
     recent: std::collections::VecDeque<AdapterId>,
     under_way: Option<Order>,
+    doubt: Option<Doubt>,
     accepted_at: Duration,
     observe_at: Option<Duration>,
     resume_at: Duration,
@@ -181,6 +198,7 @@
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             recent: std::collections::VecDeque::new(),
             under_way: None,
+            doubt: None,
             accepted_at: Duration::ZERO,
             observe_at: Some(Duration::ZERO),
             resume_at: Duration::ZERO,
@@ -322,6 +340,10 @@
         let Some(expected) = self.sequence else {
             return Step::Observe;
         };
+        if let Some(doubt) = &self.doubt {
+            self.under_way = Some(doubt.order.clone());
+            return Step::Order(doubt.order.clone());
+        }
         if self.resume_at > now {
             return Step::Wait(Some(self.resume_at));
         }
@@ -340,31 +362,57 @@
         let Some(order) = self.under_way.take() else {
             return;
         };
-        match result {
-            OrderResult::Accepted => self.on_accepted(&order, now),
-            OrderResult::Holds => self.on_holds(&order, now),
-            OrderResult::Conflict => self.observe_at = Some(now + CONFLICT_PAUSE),
-            OrderResult::Refused => self.resume_at = now + REFUSED_PAUSE,
-            OrderResult::Lost => {
-                // It may still take effect: the place counts, and the report decides.
-                if let OrderKind::Load { adapter, version } = &order.kind {
-                    let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
-                    let state = State::Loading { since: now, ask_at: now + REPORT_LAG };
-                    let version = version.unwrap_or(0);
-                    self.places.entry(id).or_insert(Place { version, state });
+        let doubt = self.doubt.take();
+        match (result, doubt) {
+            (OrderResult::Accepted, doubt) => {
+                let counted = !doubt.is_some_and(|doubt| doubt.had_effect);
+                self.on_accepted(&order, counted, now);
+            }
+            (OrderResult::Holds, doubt) => {
+                let counted = !doubt.is_some_and(|doubt| doubt.had_effect);
+                self.on_holds(&order, counted, now);
+            }
+            (OrderResult::Conflict, Some(doubt)) if !doubt.had_effect => {
+                let expected = order.expected + 1;
+                self.sequence = Some(expected);
+                let order = Order { expected, ..order };
+                self.doubt = Some(Doubt { order, had_effect: true, ..doubt });
+            }
+            (OrderResult::Conflict, _) => self.observe_at = Some(now + CONFLICT_PAUSE),
+            (OrderResult::Refused, doubt) => {
+                self.doubt = doubt;
+                self.resume_at = now + REFUSED_PAUSE;
+            }
+            (OrderResult::Lost, doubt) => {
+                let (had_effect, repeats) = doubt.map_or((false, 0), |d| (d.had_effect, d.repeats));
+                if repeats >= REPEATS_MAX {
+                    self.on_lost(&order, now);
+                } else {
+                    self.doubt = Some(Doubt { order, had_effect, repeats: repeats + 1 });
                 }
-                self.observe_at = Some(now + REPORT_LAG);
             }
         }
     }
 
+    /// Gives up asking after an order: it may still take effect, so its place counts, and
+    /// the engine's report decides.
+    fn on_lost(&mut self, order: &Order, now: Duration) {
+        if let OrderKind::Load { adapter, version } = &order.kind {
+            let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+            let state = State::Loading { since: now, ask_at: now + REPORT_LAG };
+            let version = version.unwrap_or(0);
+            self.places.entry(id).or_insert(Place { version, state });
+        }
+        self.observe_at = Some(now + REPORT_LAG);
+    }
+
     /// Reports that the engine could not be asked what it holds.
     pub fn on_observe_failed(&mut self, now: Duration) {
         self.observe_at = Some(now + REPORT_LAG);
     }
 
-    fn on_accepted(&mut self, order: &Order, now: Duration) {
-        if !self.is_question(order) {
+    fn on_accepted(&mut self, order: &Order, counted: bool, now: Duration) {
+        if counted && !self.is_question(order) {
             self.sequence = Some(order.expected + 1);
             self.accepted_at = now;
         }
@@ -412,8 +460,9 @@
         }
     }
 
-    fn on_holds(&mut self, order: &Order, now: Duration) {
-        if matches!(order.kind, OrderKind::Unload { .. }) && !self.is_question(order) {
+    fn on_holds(&mut self, order: &Order, counted: bool, now: Duration) {
+        let is_unload = matches!(order.kind, OrderKind::Unload { .. });
+        if is_unload && counted && !self.is_question(order) {
             // An adapter that no request uses is unloaded at once, and the order counts.
             self.sequence = Some(order.expected + 1);
             self.accepted_at = now;
@@ -504,19 +553,24 @@
         }
     }
 
-    /// Loads the adapter that has waited longest, after making room for it; one at hand
-    /// goes before those that come from the store.
+    /// Loads the adapter that is wanted most, after making room for it; one at hand goes
+    /// before those that come from the store.
     fn next_load(&self, now: Duration) -> Option<OrderKind> {
         let (may_load, may_fetch) = self.room_for_loads();
         let is_missing = |id: &AdapterId, wanted: &Wanted| match self.places.get(id) {
             None => true,
             Some(place) => place.state == State::Ready && place.version < wanted.version,
         };
-        let rank = |(id, wanted): &(&AdapterId, &Wanted)| {
-            (!self.recent.contains(*id), wanted.since, (*id).clone())
+        // Many requests, or one that has waited long, go first.
+        let weight = |wanted: &Wanted| {
+            let waited = now.saturating_sub(wanted.since).as_secs_f64();
+            f64::from(wanted.waiting) + waited * WAITING_PER_S
         };
         let waiting = self.wanted.iter().filter(|(id, wanted)| is_missing(id, wanted));
-        let (id, wanted) = waiting.min_by_key(rank)?;
+        let (id, wanted) = waiting.max_by(|(a, x), (b, y)| {
+            let at_hand = self.recent.contains(*a).cmp(&self.recent.contains(*b));
+            at_hand.then(weight(x).total_cmp(&weight(y))).then(b.cmp(a))
+        })?;
         let is_at_hand = self.recent.contains(id);
         if !(if is_at_hand { may_load } else { may_fetch }) {
             return None;
