Share popular adapters of crowded engines

Change: popular adapters get one more engine while theirs hold 1.5 times the mean; the demand's half-life is 3 s. Ruled out: slow loads (the wait for grants was short there).

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -23,12 +23,20 @@
 const REPORT_KEPT_FOR: Duration = Duration::from_millis(1_000);
 /// What another zone adds to the cost of a plain server, in shares of its slots.
 const ZONE_COST: f64 = 0.5;
-/// Half-life of an adapter's demand.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Half-life of an adapter's demand; popularity shifts within seconds.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(3);
 const DEMAND_ENTRIES_MAX: usize = 8_192;
 /// Engines for an adapter beyond its share of the requests, as a factor.
 const SPREAD: f64 = 1.4;
 
+/// Requests at an engine, as a factor of the mean, from which its popular adapters get
+/// one more engine.
+const CROWDED: f64 = 1.5;
+/// Requests beyond that factor, so that an idle fleet is not spread out.
+const CROWDED_MIN: f64 = 3.0;
+/// Share of the requests from which an adapter is worth a load at another engine.
+const POPULAR_SHARE: f64 = 0.005;
+
 new_key_type! {
     /// Identifies a server in a placement.
     pub struct PlacementKey;
@@ -64,13 +72,18 @@
 }
 
 impl Candidate {
-    /// Returns the requests there, as a share of its slots.
-    fn load(&self, now: Duration) -> f64 {
+    /// Returns the requests there.
+    fn requests(&self, now: Duration) -> f64 {
         let reported = match self.report {
             Some((report, at)) if now < at + REPORT_KEPT_FOR => report.running + report.waiting,
             _ => 0,
         };
-        f64::from(reported.max(self.in_flight) + 1) / f64::from(self.server.slots.max(1))
+        f64::from(reported.max(self.in_flight))
+    }
+
+    /// Returns the requests there with one more, as a share of its slots.
+    fn load(&self, now: Duration) -> f64 {
+        (self.requests(now) + 1.0) / f64::from(self.server.slots.max(1))
     }
 
     fn cost(&self, now: Duration) -> f64 {
@@ -184,8 +197,8 @@
             self.candidates.get(*key).map_or(0, |c| rendezvous_score(&name, &c.server.id))
         };
         open.sort_by_cached_key(|key| std::cmp::Reverse(score(key)));
-        let engines = open.len();
-        open.truncate(self.replicas(adapter, engines, now));
+        let count = self.replicas(&open, adapter, now);
+        open.truncate(count);
         self.cheapest(open, |c| c.cost(now))
     }
 
@@ -224,12 +237,26 @@
         }
     }
 
-    /// Returns how many engines share the requests of an adapter.
-    fn replicas(&self, adapter: &AdapterId, engines: usize, now: Duration) -> usize {
+    /// Returns how many of the engines, in the adapter's order, share its requests: as its
+    /// share of all requests asks for, and more while these are crowded.
+    fn replicas(&self, engines: &[PlacementKey], adapter: &AdapterId, now: Duration) -> usize {
         let total = self.total.count(now, DEMAND_HALF_LIFE).max(1.0);
         let share = self.demand.count(adapter, now) / total;
-        let wanted = (share * SPREAD * engines as f64).ceil() as usize;
-        wanted.clamp(1, engines.max(1))
+        let wanted = (share * SPREAD * engines.len() as f64).ceil() as usize;
+        let wanted = wanted.clamp(1, engines.len().max(1));
+        if share < POPULAR_SHARE {
+            return wanted;
+        }
+        let requests: Vec<f64> = engines
+            .iter()
+            .filter_map(|key| self.candidates.get(*key))
+            .map(|candidate| candidate.requests(now))
+            .collect();
+        let mean = requests.iter().sum::<f64>() / requests.len().max(1) as f64;
+        let is_crowded = |requests: &f64| *requests > mean * CROWDED + CROWDED_MIN;
+        let roomy = requests.iter().skip(wanted - 1).position(|requests| !is_crowded(requests));
+        let all_crowded = requests.iter().take(wanted).all(is_crowded);
+        if all_crowded { wanted + roomy.unwrap_or(0) } else { wanted }
     }
 
     fn holds(&self, key: PlacementKey, model: &str) -> bool {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -137,3 +137,31 @@
     placement.upsert(Arc::new(Server { state, ..server("i-0", "north") }));
     assert_eq!(placement.pick_plain("drafter", &[], NOW), Pick::None);
 }
+
+/// The pattern of a shift of popularity: several rising adapters have the same first engine.
+#[test]
+fn crowded_engines_share_their_popular_adapters() {
+    let mut placement = placement(9);
+    let engine_of = |placement: &Placement, id: &AdapterId| {
+        picked(placement.pick_adapter("drafter", id, &[], NOW))
+    };
+    let rising: Vec<AdapterId> = (0..200)
+        .map(|n| adapter(&format!("a{n}")))
+        .filter(|id| &*engine_of(&placement, id).1 == "i-4")
+        .take(10)
+        .collect();
+    for _ in 0..40 {
+        for id in &rising {
+            placement.count(id, NOW);
+        }
+    }
+    let before = engine_of(&placement, &rising[0]);
+    let report = LoadReport { running: 30, waiting: 0, slots: 64 };
+    placement.on_report(before.0, report, NOW);
+    let moved = rising.iter().filter(|id| engine_of(&placement, id).1 != before.1).count();
+    assert_eq!(moved, rising.len());
+    assert_eq!(engine_of(&placement, &adapter("rare")).1, {
+        let calm = self::placement(9);
+        engine_of(&calm, &adapter("rare")).1
+    });
+}
