Announce loads to peers that wait, and leave silent peers alone for a while

Cause: behind a cut a request waited 2.75 s for an owner's answer. Change: an owner says at once that a load is under way; a peer that says nothing within 200 ms is not asked for 1.5 s; connections open within 200 ms; a server that can't be reached rests for 1, 2, then 4 s.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -66,7 +66,7 @@
             entry.grants.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
             Access::Granted(Some(version), kept)
         }
-        Some((Answer::NotYet | Answer::Impossible, _)) => Access::Denied,
+        Some((Answer::Loading | Answer::NotYet | Answer::Impossible, _)) => Access::Denied,
         Some((Answer::NotOwner, _)) | None if missed => Access::Denied,
         Some((Answer::NotOwner, _)) | None => remembered(entry, server, id, version_min),
     }
@@ -88,10 +88,10 @@
     };
     let (holder, address) = owner?;
     if holder == entry.holder {
-        let (answer, here) = entry.orders.answer(entry, &ask).await;
+        let (answer, here) = entry.orders.answer(entry, &ask, || ()).await;
         return Some((answer, Kept { _here: here, _at_peer: None }));
     }
-    let (answer, at_peer) = entry.peers.ask(address, ask).await?;
+    let (answer, at_peer) = entry.peers.ask(address, ask, entry.clock).await?;
     if answer == Answer::NotOwner {
         entry.leases.borrow_mut().on_doubt();
         entry.leases_changed.notify_waiters();
--- a/crates/entry/src/channel.rs
+++ b/crates/entry/src/channel.rs
@@ -20,7 +20,7 @@
 use crate::prelude::*;
 
 /// How long a connection may take to open; a machine without power does not answer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long an idle connection is used again when the server states no time-out.
 const IDLE_MAX: Duration = Duration::from_millis(1_000);
 /// How long before the stated time-out an idle connection is no longer used.
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -51,6 +51,8 @@
         /// The version loaded.
         version: u64,
     },
+    /// It is not loaded yet; another answer follows.
+    Loading,
     /// It was not loaded in time.
     NotYet,
     /// The engine can't hold it, or not soon.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -72,8 +72,13 @@
     }
 
     /// Answers whether an adapter may be used, once it is loaded; it stays while the use
-    /// returned is kept.
-    pub(crate) async fn answer(&self, entry: &Rc<Entry>, ask: &Ask) -> (Answer, Option<Use>) {
+    /// returned is kept. Calls `on_wait` when the answer has to wait for a load.
+    pub(crate) async fn answer(
+        &self,
+        entry: &Rc<Entry>,
+        ask: &Ask,
+        on_wait: impl FnOnce(),
+    ) -> (Answer, Option<Use>) {
         let owned = self.engines.borrow().get(&*ask.engine).map(|running| running.owned.clone());
         let Some(owned) = owned else {
             return (Answer::NotOwner, None);
@@ -84,6 +89,7 @@
             owned.ledger.borrow_mut().on_missing(entry.clock.now());
         }
         let _waiter = Waiter::start(&owned, &id, entry.clock.now());
+        let mut on_wait = Some(on_wait);
         loop {
             let changed = owned.changed.notified();
             tokio::pin!(changed);
@@ -98,6 +104,9 @@
                 Readiness::Loading if now >= until => return (Answer::NotYet, None),
                 Readiness::Loading => owned.wanted.notify_one(),
             }
+            if let Some(on_wait) = on_wait.take() {
+                on_wait();
+            }
             let left = until.saturating_sub(now).min(IDLE_INTERVAL);
             // Without a change the ledger is asked again all the same.
             let _ = tokio::time::timeout(left, changed).await;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,7 +4,7 @@
 
 use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::channel::{connect, set_options};
@@ -17,11 +17,18 @@
 const FRAME_BYTES_MAX: usize = 4_096;
 /// Questions waiting to be written to one peer; beyond that the peer is stuck.
 const QUEUE_MAX: usize = 256;
-/// How long an answer may take beyond the wait that the question allows.
-const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// How long a peer may take to say anything; a load that takes longer is announced.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long the last answer may take beyond the wait that the question allows.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// How long a peer that said nothing is not asked again.
+const SILENT_FOR: Duration = Duration::from_millis(1_500);
+
+/// Takes the answers to a question, and its number.
+type Asker = mpsc::Sender<(Answer, u32)>;
 
 enum Outgoing {
-    Ask(Ask, oneshot::Sender<(Answer, u32)>),
+    Ask(Ask, Asker),
     Done(u32),
 }
 
@@ -29,6 +36,7 @@
 #[derive(Default)]
 pub(crate) struct Peers {
     links: RefCell<HashMap<SocketAddr, mpsc::Sender<Outgoing>>>,
+    silent_until: RefCell<HashMap<SocketAddr, Duration>>,
 }
 
 /// Tells the owner of an engine's orders, when dropped, that a request has ended.
@@ -51,26 +59,44 @@
         self: &Rc<Self>,
         address: SocketAddr,
         ask: Ask,
+        clock: Clock,
     ) -> Option<(Answer, Option<Granted>)> {
+        let silent_until = self.silent_until.borrow().get(&address).copied();
+        if silent_until.is_some_and(|until| clock.now() < until) {
+            return None;
+        }
         let limit = Duration::from_millis(ask.wait_ms.into()) + ANSWER_MARGIN;
-        let (reply, answer) = oneshot::channel();
+        // One answer that it loads, and one that ends the question.
+        let (asker, mut answers) = mpsc::channel(2);
         let link = self.link(address);
-        link.try_send(Outgoing::Ask(ask, reply)).ok()?;
-        match tokio::time::timeout(limit, answer).await {
-            Ok(answer) => {
-                let (answer, number) = answer.ok()?;
-                let granted = matches!(answer, Answer::Granted { .. });
-                Some((answer, granted.then(|| Granted { link, number })))
-            }
-            Err(_) => {
-                // The connection may have gone silent; the next question opens another.
-                log::warn!("entry host {address} did not answer in {} ms", limit.as_millis());
-                self.links.borrow_mut().remove(&address);
-                None
+        link.try_send(Outgoing::Ask(ask, asker)).ok()?;
+        let mut timeout = FIRST_ANSWER_TIMEOUT;
+        loop {
+            match tokio::time::timeout(timeout, answers.recv()).await {
+                Ok(Some((Answer::Loading, _))) => timeout = limit,
+                Ok(Some((answer, number))) => {
+                    let granted = matches!(answer, Answer::Granted { .. });
+                    return Some((answer, granted.then(|| Granted { link, number })));
+                }
+                Ok(None) => {
+                    self.on_silent(address, clock);
+                    return None;
+                }
+                Err(_) => {
+                    log::warn!("entry host {address} said nothing in {} ms", timeout.as_millis());
+                    self.on_silent(address, clock);
+                    return None;
+                }
             }
         }
     }
 
+    /// Rests from a peer; the next question opens another connection.
+    fn on_silent(&self, address: SocketAddr, clock: Clock) {
+        self.links.borrow_mut().remove(&address);
+        self.silent_until.borrow_mut().insert(address, clock.now() + SILENT_FOR);
+    }
+
     fn link(self: &Rc<Self>, address: SocketAddr) -> mpsc::Sender<Outgoing> {
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&address).filter(|link| !link.is_closed()) {
@@ -93,7 +119,7 @@
         }
     };
     let mut framed = Framed::new(stream, codec());
-    let mut open: HashMap<u32, oneshot::Sender<(Answer, u32)>> = HashMap::new();
+    let mut open: HashMap<u32, Asker> = HashMap::new();
     let mut number: u32 = 0;
     loop {
         tokio::select! {
@@ -119,10 +145,13 @@
                     log::warn!("entry host {address} sent what can't be read");
                     return;
                 };
-                let unwanted = match open.remove(&number) {
-                    Some(asker) => asker.send((answer, number)).is_err(),
+                let unwanted = match open.get(&number) {
+                    Some(asker) => asker.try_send((answer, number)).is_err(),
                     None => true,
                 };
+                if answer != Answer::Loading {
+                    open.remove(&number);
+                }
                 if unwanted && matches!(answer, Answer::Granted { .. }) {
                     let done = postcard::to_stdvec(&ToOwner::Done(number)).unwrap_or_default();
                     if framed.send(Bytes::from(done)).await.is_err() {
@@ -171,7 +200,13 @@
                 let (entry, tx, uses) = (entry.clone(), tx.clone(), uses.clone());
                 tokio::task::spawn_local(async move {
                     let number = ask.number;
-                    let (answer, granted) = entry.orders.answer(&entry, &ask).await;
+                    let waits = tx.clone();
+                    let on_wait = move || {
+                        if waits.try_send(Reply { number, answer: Answer::Loading }).is_err() {
+                            log::debug!("a peer was not told that a load takes time");
+                        }
+                    };
+                    let (answer, granted) = entry.orders.answer(&entry, &ask, on_wait).await;
                     if let Some(granted) = granted {
                         uses.borrow_mut().insert(number, granted);
                     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -13,8 +13,9 @@
 use crate::prelude::*;
 use crate::roster::{AdapterId, Server};
 
-/// How long a server that could not be reached is tried last.
-const SUSPECT_FOR: Duration = Duration::from_millis(1_500);
+/// How long a server that could not be reached is tried last; doubled each further time.
+const SUSPECT_FOR: Duration = Duration::from_millis(1_000);
+const SUSPECT_DOUBLINGS_MAX: u32 = 2;
 /// Half-life of a server's failures; a server that fails some requests recovers in seconds.
 const FAILURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// What one recent failure adds to a server's cost, in shares of its slots.
@@ -69,6 +70,8 @@
     report: Option<(LoadReport, Duration)>,
     failures: Demand,
     suspect_until: Duration,
+    /// Times that it could not be reached since it was.
+    unreached: u32,
 }
 
 impl Candidate {
@@ -121,6 +124,7 @@
             if candidate.server.born != server.born {
                 candidate.report = None;
                 candidate.suspect_until = Duration::ZERO;
+                candidate.unreached = 0;
                 candidate.failures = Demand::default();
             }
             candidate.server = server;
@@ -133,6 +137,7 @@
             report: None,
             failures: Demand::default(),
             suspect_until: Duration::ZERO,
+            unreached: 0,
         });
         self.by_id.insert(id, key);
     }
@@ -220,6 +225,7 @@
     pub fn on_report(&mut self, key: PlacementKey, report: LoadReport, now: Duration) {
         if let Some(candidate) = self.candidates.get_mut(key) {
             candidate.report = Some((report, now));
+            candidate.unreached = 0;
         }
     }
 
@@ -233,7 +239,9 @@
     /// Reports that a server could not be reached.
     pub fn on_unreachable(&mut self, key: PlacementKey, now: Duration) {
         if let Some(candidate) = self.candidates.get_mut(key) {
-            candidate.suspect_until = now + SUSPECT_FOR;
+            let doublings = candidate.unreached.min(SUSPECT_DOUBLINGS_MAX);
+            candidate.suspect_until = now + SUSPECT_FOR * 2u32.pow(doublings);
+            candidate.unreached += u32::from(doublings < SUSPECT_DOUBLINGS_MAX);
         }
     }
 
