Tell popular adapters by recent requests at this host

Cause: with a half-life of 3 s and any share counting, rare adapters were loaded twice. Change: an adapter gets another engine only after 2.5 recent requests; half-life 5 s.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -25,7 +25,7 @@
 /// What another zone adds to the cost of a plain server, in shares of its slots.
 const ZONE_COST: f64 = 0.5;
 /// Half-life of an adapter's demand; popularity shifts within seconds.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(3);
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
 const DEMAND_ENTRIES_MAX: usize = 8_192;
 /// Engines for an adapter beyond its share of the requests, as a factor.
 const SPREAD: f64 = 1.4;
@@ -35,8 +35,8 @@
 const CROWDED: f64 = 1.5;
 /// Requests beyond that factor, so that an idle fleet is not spread out.
 const CROWDED_MIN: f64 = 3.0;
-/// Share of the requests from which an adapter is worth a load at another engine.
-const POPULAR_SHARE: f64 = 0.005;
+/// Recent requests here from which an adapter is worth a load at another engine.
+const POPULAR_COUNT: f64 = 2.5;
 
 new_key_type! {
     /// Identifies a server in a placement.
@@ -249,10 +249,11 @@
     /// share of all requests asks for, and more while these are crowded.
     fn replicas(&self, engines: &[PlacementKey], adapter: &AdapterId, now: Duration) -> usize {
         let total = self.total.count(now, DEMAND_HALF_LIFE).max(1.0);
-        let share = self.demand.count(adapter, now) / total;
+        let count = self.demand.count(adapter, now);
+        let share = count / total;
         let wanted = (share * SPREAD * engines.len() as f64).ceil() as usize;
         let wanted = wanted.clamp(1, engines.len().max(1));
-        if share < POPULAR_SHARE {
+        if count < POPULAR_COUNT {
             return wanted;
         }
         let requests: Vec<f64> = engines
