--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -168,8 +168,8 @@
     pub left: Duration,
     /// The version of the adapter that is to run it.
     pub version: Option<u64>,
-    /// Its rank, 0 first; `None` where the server is to treat all alike.
-    pub priority: Option<u8>,
+    /// Its rank, 0 first.
+    pub priority: u8,
 }
 
 /// Holds what the head of a server's answer says.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -461,8 +461,7 @@
         strip_hop_by_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
-        // Ranked requests preempt others, and what these had read is read again.
-        let sending = Sending { server, left, version, priority: None };
+        let sending = Sending { server, left, version, priority: self.route.priority };
         self.entry.borders.dialect.prepare(&mut headers, &sending);
         *req.headers_mut() = headers;
         req
