Let full engines pass any adapter on, and long prompts go past busy ones

Cause: on the grown site's engines of 12 slots long prompts of the less urgent kind waited behind short ones until their deadline. Change: a full engine passes rare adapters on too; a prompt of 4,096 tokens or more may use three further engines while its own is 60 % full; the pauses of the followers come from the bounds in the settings.

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -157,6 +157,8 @@
     pub model: Option<Arc<str>>,
     /// The adapter of that model, if it names one.
     pub adapter: Option<Arc<str>>,
+    /// The tokens of its prompt, 0 if it does not say.
+    pub prompt_tokens: u32,
 }
 
 /// Holds what an entry host adds to a request that it passes on.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -4,15 +4,9 @@
 
 use crate::border::{Feed, Listing, StoreError, Update, Written};
 use crate::prelude::*;
+use crate::settings::STORE_MARGIN_MS;
 use crate::state::Entry;
 
-/// How long the store may hold a question for changes. A question that is on its way
-/// when a cut begins blocks the list until it times out, which must not take much longer
-/// than the cut itself.
-const CHANGES_WAIT: Duration = Duration::from_secs(2);
-/// Between two questions for changes of the list of servers, which change all the time;
-/// a server that leaves must get no work two seconds later.
-const SERVERS_PAUSE: Duration = Duration::from_millis(700);
 /// Between two tries to reach the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -25,7 +19,7 @@
             None => entry.borders.store.list(feed).await,
             Some(after) => {
                 // While the store is away, only whether it answers at all is of interest.
-                let wait = if away { Duration::ZERO } else { CHANGES_WAIT };
+                let wait = if away { Duration::ZERO } else { wait(&entry, feed) };
                 entry.borders.store.changes(feed, after, wait).await
             }
         };
@@ -39,7 +33,7 @@
                 after = Some(listing.revision.max(after.unwrap_or(0)));
                 on_listing(&entry, feed, listing, whole, now);
                 if feed == Feed::Servers {
-                    tokio::time::sleep(SERVERS_PAUSE).await;
+                    tokio::time::sleep(servers_pause(&entry)).await;
                 }
             }
             Err(StoreError::HistoryLost) => {
@@ -59,6 +53,23 @@
     }
 }
 
+/// Returns how long the store may hold a question for changes. One that is on its way
+/// when a cut begins blocks the list until it times out, which must not take much longer
+/// than a configuration may take.
+fn wait(entry: &Entry, feed: Feed) -> Duration {
+    let cfg = entry.cfg.borrow();
+    match feed {
+        Feed::Control => Duration::from_millis(cfg.apply_ms),
+        Feed::Servers => Duration::from_millis(cfg.drain_ms),
+    }
+}
+
+/// Returns the time between two questions for changes of the list of servers, which
+/// change all the time.
+fn servers_pause(entry: &Entry) -> Duration {
+    Duration::from_millis(entry.cfg.borrow().drain_ms.saturating_sub(STORE_MARGIN_MS + 400))
+}
+
 fn on_listing(entry: &Rc<Entry>, feed: Feed, listing: Listing, whole: bool, now: Duration) {
     let mut changes = Vec::new();
     let mut servers = Vec::new();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -294,7 +294,8 @@
                 if tried.is_empty() {
                     placement.count(&id, now);
                 }
-                placement.pick_adapter(&self.service, &id, tried, now)
+                let tokens = self.asked.prompt_tokens;
+                placement.pick_adapter(&self.service, &id, tokens, tried, now)
             }
             (Some(model), None) => placement.pick_engine(&self.service, model, tried, now),
             (None, _) => placement.pick_plain(&self.service, tried, now),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -32,6 +32,10 @@
     pub grace_s: f64,
     /// How long an engine rests between the orders of two holders, in milliseconds.
     pub lease_ms: u64,
+    /// How long a leaving server may still be sent work, in milliseconds.
+    pub drain_ms: u64,
+    /// How long a configuration may take to be in force here, in milliseconds.
+    pub apply_ms: u64,
     /// Repeated sends to a service, as a share of its requests.
     pub retry_share: f64,
     /// Repeated sends to a service beyond that share, over all entry hosts.
@@ -41,6 +45,10 @@
     pub log: Arc<str>,
 }
 
+/// What a question to the store may take, with a second one after it failed, in
+/// milliseconds.
+pub(crate) const STORE_MARGIN_MS: u64 = 800;
+
 fn default_log() -> Arc<str> {
     "info".into()
 }
@@ -116,6 +124,12 @@
         if !(self.grace_s.is_finite() && self.grace_s > 0.0) {
             return Some(("grace-s", "must be above 0"));
         }
+        if self.drain_ms < STORE_MARGIN_MS * 2 {
+            return Some(("drain-ms", "must be at least 1600"));
+        }
+        if self.apply_ms < STORE_MARGIN_MS * 2 {
+            return Some(("apply-ms", "must be at least 1600"));
+        }
         if !(0.0..=1.0).contains(&self.retry_share) {
             return Some(("retry-share", "must lie between 0 and 1"));
         }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -38,6 +38,13 @@
 /// Recent requests here from which an adapter is worth a load at another engine.
 const POPULAR_COUNT: f64 = 2.5;
 
+/// Tokens from which a prompt keeps an engine busy for longer than a load takes.
+const LONG_PROMPT: u32 = 4_096;
+/// Engines beyond its adapter's that a long prompt may use.
+const LONG_PROMPT_CHOICES: usize = 3;
+/// Load of the adapter's engine from which it may, as a share of its slots.
+const LONG_PROMPT_LOAD: f64 = 0.6;
+
 new_key_type! {
     /// Identifies a server in a placement.
     pub struct PlacementKey;
@@ -183,11 +190,12 @@
         self.cheapest(if holders.is_empty() { open } else { holders }, |c| c.cost(now))
     }
 
-    /// Chooses an engine for a request on an adapter.
+    /// Chooses an engine for a request on an adapter with a prompt of `tokens`.
     pub fn pick_adapter(
         &self,
         service: &str,
         adapter: &AdapterId,
+        tokens: u32,
         tried: &[Arc<str>],
         now: Duration,
     ) -> Pick {
@@ -202,7 +210,13 @@
             self.candidates.get(*key).map_or(0, |c| rendezvous_score(&name, &c.server.id))
         };
         open.sort_by_cached_key(|key| std::cmp::Reverse(score(key)));
-        let count = self.replicas(&open, adapter, now);
+        let mut count = self.replicas(&open, adapter, now);
+        // Another engine has to read the parts of the prompt that this one keeps.
+        let first = open.first().and_then(|key| self.candidates.get(*key));
+        let is_busy = first.is_some_and(|c| c.load(now) > LONG_PROMPT_LOAD);
+        if tokens >= LONG_PROMPT && is_busy {
+            count += LONG_PROMPT_CHOICES;
+        }
         open.truncate(count);
         self.cheapest(open, |c| c.cost(now))
     }
@@ -253,18 +267,18 @@
         let share = count / total;
         let wanted = (share * SPREAD * engines.len() as f64).ceil() as usize;
         let wanted = wanted.clamp(1, engines.len().max(1));
-        if count < POPULAR_COUNT {
-            return wanted;
-        }
-        let requests: Vec<f64> = engines
-            .iter()
-            .filter_map(|key| self.candidates.get(*key))
-            .map(|candidate| candidate.requests(now))
-            .collect();
-        let mean = requests.iter().sum::<f64>() / requests.len().max(1) as f64;
-        let is_crowded = |requests: &f64| *requests > mean * CROWDED + CROWDED_MIN;
-        let roomy = requests.iter().skip(wanted - 1).position(|requests| !is_crowded(requests));
-        let all_crowded = requests.iter().take(wanted).all(is_crowded);
+        let candidates: Vec<&Candidate> =
+            engines.iter().filter_map(|key| self.candidates.get(*key)).collect();
+        let requests = candidates.iter().map(|candidate| candidate.requests(now));
+        let mean = requests.sum::<f64>() / candidates.len().max(1) as f64;
+        let crowded = mean * CROWDED + CROWDED_MIN;
+        let is_crowded = |candidate: &&Candidate| {
+            let requests = candidate.requests(now);
+            let is_full = requests >= f64::from(candidate.server.slots);
+            is_full || (count >= POPULAR_COUNT && requests > crowded)
+        };
+        let roomy = candidates.iter().skip(wanted - 1).position(|c| !is_crowded(c));
+        let all_crowded = candidates.iter().take(wanted).all(is_crowded);
         if all_crowded { wanted + roomy.unwrap_or(0) } else { wanted }
     }
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Which server gets a request.
 
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +9,8 @@
 };
 
 const NOW: Duration = Duration::from_secs(10);
+/// Requests under way at once over nine engines of eight slots.
+const RUNNING: usize = 20;
 
 fn server(id: &str, zone: &str) -> Server {
     let model = HeldModel { name: "m".into(), version: 1, adapters: Vec::new() };
@@ -48,13 +50,18 @@
     let mut placement = placement(9);
     let popular = adapter("popular");
     let mut engines = HashSet::new();
+    let mut running = VecDeque::new();
     let mut owed = 0.0;
     for n in 0..count {
         owed += share;
         let id = if owed >= 1.0 { popular.clone() } else { adapter(&format!("rare-{n}")) };
         placement.count(&id, NOW);
-        let (key, server) = picked(placement.pick_adapter("drafter", &id, &[], NOW));
+        let (key, server) = picked(placement.pick_adapter("drafter", &id, 100, &[], NOW));
         placement.on_sent(key);
+        running.push_back(key);
+        if running.len() > RUNNING {
+            placement.on_ended(running.pop_front().unwrap());
+        }
         if owed >= 1.0 {
             owed -= 1.0;
             engines.insert(server);
@@ -79,8 +86,8 @@
     let (a, b) = (placement(9), placement(9));
     for n in 0..50 {
         let id = adapter(&format!("a{n}"));
-        let first = picked(a.pick_adapter("drafter", &id, &[], NOW)).1;
-        assert_eq!(first, picked(b.pick_adapter("drafter", &id, &[], NOW)).1);
+        let first = picked(a.pick_adapter("drafter", &id, 100, &[], NOW)).1;
+        assert_eq!(first, picked(b.pick_adapter("drafter", &id, 100, &[], NOW)).1);
     }
 }
 
@@ -88,12 +95,14 @@
 fn losing_an_engine_moves_only_its_adapters() {
     let mut placement = placement(9);
     let before: Vec<Arc<str>> = (0..100)
-        .map(|n| picked(placement.pick_adapter("drafter", &adapter(&format!("a{n}")), &[], NOW)).1)
+        .map(|n| {
+            picked(placement.pick_adapter("drafter", &adapter(&format!("a{n}")), 100, &[], NOW)).1
+        })
         .collect();
     placement.remove("i-3");
     for (n, engine) in before.iter().enumerate().filter(|(_, engine)| &***engine != "i-3") {
         let id = adapter(&format!("a{n}"));
-        assert_eq!(*engine, picked(placement.pick_adapter("drafter", &id, &[], NOW)).1);
+        assert_eq!(*engine, picked(placement.pick_adapter("drafter", &id, 100, &[], NOW)).1);
     }
 }
 
@@ -143,7 +152,7 @@
 fn crowded_engines_share_their_popular_adapters() {
     let mut placement = placement(9);
     let engine_of = |placement: &Placement, id: &AdapterId| {
-        picked(placement.pick_adapter("drafter", id, &[], NOW))
+        picked(placement.pick_adapter("drafter", id, 100, &[], NOW))
     };
     let rising: Vec<AdapterId> = (0..200)
         .map(|n| adapter(&format!("a{n}")))
@@ -165,3 +174,24 @@
         engine_of(&calm, &adapter("rare")).1
     });
 }
+
+/// The pattern of a small batch full of short requests, behind which a long prompt starves.
+#[test]
+fn a_long_prompt_goes_past_a_busy_engine() {
+    let mut placement = placement(9);
+    let id = adapter("digest");
+    let (key, first) = picked(placement.pick_adapter("drafter", &id, 9_000, &[], NOW));
+    placement.on_report(key, LoadReport { running: 5, waiting: 0, slots: 8 }, NOW);
+    assert_ne!(picked(placement.pick_adapter("drafter", &id, 9_000, &[], NOW)).1, first);
+    assert_eq!(picked(placement.pick_adapter("drafter", &id, 100, &[], NOW)).1, first);
+}
+
+/// The pattern of a full engine that would keep any request waiting.
+#[test]
+fn a_full_engine_passes_rare_adapters_on() {
+    let mut placement = placement(9);
+    let id = adapter("rare");
+    let (key, first) = picked(placement.pick_adapter("drafter", &id, 100, &[], NOW));
+    placement.on_report(key, LoadReport { running: 8, waiting: 0, slots: 8 }, NOW);
+    assert_ne!(picked(placement.pick_adapter("drafter", &id, 100, &[], NOW)).1, first);
+}
