--- /dev/null
+++ b/crates/entry/tests/settings.rs
@@ -0,0 +1,47 @@
+//! Settings that can't be used are refused with the key and the line.
+
+use guavaspread_entry::EntrySettings;
+use test_case::test_case;
+
+const GOOD: &str = r#"host = "front-1"
+ip = "10.1.0.38"
+zone = "north"
+listen = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+ports = [7380, 7395]
+metrics = "10.1.0.38:9464"
+store = "10.200.1.7:8142"
+grace-s = 8
+lease-ms = 3000
+drain-ms = 2000
+apply-ms = 2000
+retry-share = 0.2
+retry-slack = 58
+"#;
+
+#[test]
+fn good_settings_are_taken() {
+    let cfg = EntrySettings::parse(GOOD).unwrap();
+    assert_eq!(cfg.peer_address(), "10.1.0.38:7380".parse().unwrap());
+}
+
+#[test_case("host = \"front-1\"", "", "host"; "missing key")]
+#[test_case("host = \"front-1\"", "host = \"\"", "`host` at line 1"; "empty host")]
+#[test_case("zone = \"north\"", "zone = \"\"", "`zone` at line 3"; "empty zone")]
+#[test_case("zone = \"north\"", "zone = \"n\"\nzoom = 1", "zoom"; "unknown key")]
+#[test_case("ip = \"10.1.0.38\"", "ip = \"ten\"", "line 2"; "bad address")]
+#[test_case("[7380, 7395]", "[7395, 7380]", "`ports` at line 6"; "ports the wrong way round")]
+#[test_case("[7380, 7395]", "[7380, 99999]", "line 6"; "port out of range")]
+#[test_case("10.1.0.38:8141", "10.1.0.38:8149", "`ready` at line 5"; "same address twice")]
+#[test_case("10.200.1.7:8142", "10.1.0.38:8149", "`store` at line 8"; "store here")]
+#[test_case("10.200.1.7:8142", "", "line 8"; "no store")]
+#[test_case("grace-s = 8", "grace-s = 0", "`grace-s` at line 9"; "no grace")]
+#[test_case("drain-ms = 2000", "drain-ms = 5", "`drain-ms` at line 11"; "drain too short")]
+#[test_case("retry-share = 0.2", "retry-share = 2.0", "`retry-share` at line 13"; "share above 1")]
+#[test_case("retry-slack = 58", "retry-slack = -1", "`retry-slack` at line 14"; "slack below 0")]
+fn bad_settings_are_refused(old: &str, new: &str, names: &str) {
+    let text = GOOD.replace(old, new);
+    assert_ne!(text, GOOD);
+    let error = EntrySettings::parse(&text).unwrap_err().to_string();
+    assert!(error.contains(names), "{error}");
+}
