--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings that can't be used are refused with the key and the line.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use guavaspread_entry::EntrySettings;
 use test_case::test_case;
 
--- a/crates/fleet/tests/attempts.rs
+++ b/crates/fleet/tests/attempts.rs
@@ -1,5 +1,7 @@
 //! Which failures are followed by another attempt.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use std::time::Duration;
 
 use guavaspread_fleet::{Attempts, Outcome, RequestClass, Route, Verdict};
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -1,5 +1,7 @@
 //! Which route and service a request gets.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -1,5 +1,7 @@
 //! At most one entry host orders an engine, whatever is cut, paused, lost or late.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -1,6 +1,8 @@
 //! The orders that an engine gets, against an engine that counts and crashes as the
 //! users' engines do.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Which server gets a request.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use std::collections::{HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,7 +126,8 @@
     placement.on_failed(key, NOW);
     assert_ne!(picked(placement.pick_plain("drafter", &[], NOW)).1, first);
     let later = NOW + Duration::from_secs(60);
-    placement.on_sent(picked(placement.pick_plain("drafter", &[first.clone()], later)).0);
+    placement
+        .on_sent(picked(placement.pick_plain("drafter", std::slice::from_ref(&first), later)).0);
     assert_eq!(picked(placement.pick_plain("drafter", &[], later)).1, first);
 }
 
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -1,5 +1,7 @@
 //! What is taken over from the platform's list of servers.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use std::time::Duration;
 
 use guavaspread_fleet::{Roster, RosterChange, Server, ServerState};
