Ask after loads earlier, and remember demand for longer

Cause: loads took 0.33 s in place of 0.26 s: the time that loads take was learnt from the moment at which the owner asked, so it only grew. Adapters made way by 12 s of demand, and a new owner knew none. Change: an owner asks at 0.9 of that time and takes it for shorter when the load was complete; demand has a half-life of 30 s; what a new owner finds held counts as wanted.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -35,7 +35,13 @@
 /// A load that is not complete after that long was lost; the engine is asked what it holds.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
 /// Half-life of the demand by which adapters make way.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(12);
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(30);
+/// Demand assumed of an adapter that the engine held when this owner took over.
+const HELD_DEMAND: f64 = 3.0;
+/// When a load is first asked after, as a share of the time that loads take.
+const FIRST_ASK_SHARE: f64 = 0.9;
+/// How much shorter a load is taken to be that was complete when first asked after.
+const LOAD_TIME_DECAY: f64 = 0.95;
 const DEMAND_ENTRIES_MAX: usize = 4_096;
 /// How often an order whose answer was lost is repeated before the engine is observed.
 const REPEATS_MAX: u32 = 4;
@@ -120,6 +126,7 @@
     Loading {
         since: Duration,
         ask_at: Duration,
+        asked: bool,
     },
     Unloading {
         ask_at: Duration,
@@ -221,6 +228,7 @@
             self.observe_at = Some(now + REPORT_LAG);
             return;
         }
+        let is_first = self.sequence.is_none();
         self.sequence = Some(sequence);
         self.observe_at = None;
         let old = std::mem::take(&mut self.places);
@@ -235,11 +243,16 @@
         for held in models {
             for adapter in &held.adapters {
                 let id = AdapterId { model: held.name.clone(), adapter: adapter.name.clone() };
+                if is_first {
+                    // Losing what its predecessor knew, a new owner must not drop the
+                    // popular adapters first.
+                    self.demand.raise(&id, now, HELD_DEMAND);
+                }
                 place(id, adapter.version, State::Ready);
             }
         }
         for (id, version) in coming {
-            place(id.clone(), *version, State::Loading { since: now, ask_at: now });
+            place(id.clone(), *version, State::Loading { since: now, ask_at: now, asked: true });
         }
         match models.iter().any(|held| held.name == self.model) {
             true => self.model_state = ModelState::Ready,
@@ -399,7 +412,7 @@
     fn on_lost(&mut self, order: &Order, now: Duration) {
         if let OrderKind::Load { adapter, version } = &order.kind {
             let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
-            let state = State::Loading { since: now, ask_at: now + REPORT_LAG };
+            let state = State::Loading { since: now, ask_at: now + REPORT_LAG, asked: true };
             let version = version.unwrap_or(0);
             self.places.entry(id).or_insert(Place { version, state });
         }
@@ -426,11 +439,15 @@
                 let expected = if self.recent.contains(&id) { RELOAD_TIME } else { self.load_time };
                 let version = version.unwrap_or_else(|| self.version_wanted(&id));
                 let known = self.places.get(&id).map(|place| place.state);
-                let (since, ask_at) = match known {
-                    Some(State::Loading { since, .. }) => (since, now + POLL_INTERVAL),
-                    _ => (now, now + expected),
+                let state = match known {
+                    Some(State::Loading { since, .. }) => {
+                        State::Loading { since, ask_at: now + POLL_INTERVAL, asked: true }
+                    }
+                    _ => {
+                        let ask_at = now + expected.mul_f64(FIRST_ASK_SHARE);
+                        State::Loading { since: now, ask_at, asked: false }
+                    }
                 };
-                let state = State::Loading { since, ask_at };
                 self.places.insert(id, Place { version, state });
             }
             OrderKind::Unload { adapter } => {
@@ -471,11 +488,15 @@
             OrderKind::LoadModel => self.model_state = ModelState::Ready,
             OrderKind::Load { adapter, version } => {
                 let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
-                if let Some(Place { state: State::Loading { since, .. }, .. }) =
-                    self.places.get(&id)
+                if let Some(State::Loading { since, asked, .. }) =
+                    self.places.get(&id).map(|place| place.state)
                     && !self.recent.contains(&id)
                 {
-                    self.load_time = (self.load_time * 7 + now.saturating_sub(*since)) / 8;
+                    self.load_time = match asked {
+                        true => (self.load_time * 7 + now.saturating_sub(since)) / 8,
+                        // It may have been complete for a while.
+                        false => self.load_time.mul_f64(LOAD_TIME_DECAY),
+                    };
                 }
                 let version = version.unwrap_or_else(|| self.version_wanted(&id));
                 self.recent.retain(|other| *other != id);
