Let owners tell how full their engines are, and equal engines take turns

Cause: on the grown site a host hears of an engine's load every 9 s, and of engines that cost the same always took the first, so that the busiest had 3.1 times the mean. Change: an owner knows every run on its engine's adapters; it answers with their number, and passes requests on from an engine that runs its batch and a sixth more. After four full engines a request is refused at once with when to come back.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -5,7 +5,7 @@
 //! what was granted last and what the list of servers shows decide: engines refuse what
 //! they do not hold.
 
-use guavaspread_fleet::{AdapterId, Grant, Server};
+use guavaspread_fleet::{AdapterId, Grant, LoadReport, PlacementKey, Server};
 
 use crate::message::{Answer, Ask};
 use crate::orders::Use;
@@ -37,12 +37,14 @@
     Granted(Option<u64>, Kept),
     /// It may not.
     Denied,
+    /// It has as many requests as it can run.
+    Full,
 }
 
 /// Asks for the use of an adapter on an engine.
 pub(crate) async fn request(
     entry: &Rc<Entry>,
-    server: &Arc<Server>,
+    (key, server): (PlacementKey, &Arc<Server>),
     id: &AdapterId,
     missed: bool,
     until: Duration,
@@ -59,8 +61,14 @@
         wait_ms: left.as_millis() as u32,
         missed,
     };
-    match ask_owner(entry, server, ask).await {
-        Some((Answer::Granted { version }, kept)) => {
+    let answer = ask_owner(entry, server, ask).await;
+    if let Some((Answer::Granted { running, .. } | Answer::Full { running }, _)) = answer {
+        let load = LoadReport { running, waiting: 0, slots: server.slots };
+        entry.placement.borrow_mut().on_report(key, load, entry.clock.now());
+    }
+    match answer {
+        Some((Answer::Full { .. }, _)) => Access::Full,
+        Some((Answer::Granted { version, .. }, kept)) => {
             let now = entry.clock.now();
             let grant = Grant { version, until: now + GRANT_KEPT_FOR };
             entry.grants.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -50,6 +50,8 @@
     Granted {
         /// The version loaded.
         version: u64,
+        /// Requests that run on the engine's adapters.
+        running: u32,
     },
     /// It is not loaded yet; another answer follows.
     Loading,
@@ -57,6 +59,11 @@
     NotYet,
     /// The engine can't hold it, or not soon.
     Impossible,
+    /// The engine runs as many requests as it can.
+    Full {
+        /// Requests that run on its adapters.
+        running: u32,
+    },
     /// The host asked does not own the engine's orders.
     NotOwner,
 }
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -98,7 +98,13 @@
             let readiness = owned.ledger.borrow_mut().want(&id, ask.version);
             match readiness {
                 Readiness::Ready(version) => {
-                    return (Answer::Granted { version }, Some(Use::start(&owned, &id)));
+                    let granted = Use::start(&owned, &id);
+                    let running = owned.ledger.borrow().running();
+                    return (Answer::Granted { version, running }, Some(granted));
+                }
+                Readiness::Full => {
+                    let running = owned.ledger.borrow().running();
+                    return (Answer::Full { running }, None);
                 }
                 Readiness::Impossible | Readiness::InUse => return (Answer::Impossible, None),
                 Readiness::Loading if now >= until => return (Answer::NotYet, None),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -32,6 +32,10 @@
 const RETRY_NO_SERVER_MS: u32 = 1_000;
 /// When to come back after an adapter was not loaded in time: a load's duration.
 const RETRY_NOT_LOADED_MS: u32 = 400;
+/// When to come back to full engines: about the time in which half of a batch ends.
+const RETRY_FULL_MS: u32 = 300;
+/// Full engines that a request asks before it is refused.
+const FULL_MAX: u32 = 4;
 /// When to come back to a host that has no configuration yet, and finds others ready.
 const RETRY_NOT_READY_MS: u32 = 500;
 
@@ -240,6 +244,7 @@
         let mut attempts = Attempts::default();
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut missed = false;
+        let mut full = 0;
         loop {
             let now = self.entry.clock.now();
             if self.until < now + LEFT_MIN {
@@ -249,9 +254,13 @@
                 record.add(Step::NoServer);
                 return answer_refusal(record, &no_server(&attempts));
             };
-            let (version, kept) = match self.access(&server, missed, &mut record).await {
+            let (version, kept) = match self.access((key, &server), missed, &mut record).await {
                 Access::Granted(version, kept) => (version, kept),
-                Access::Denied => {
+                Access::Full if full + 1 >= FULL_MAX => {
+                    return answer_refusal(record, &all_full(&attempts));
+                }
+                access @ (Access::Denied | Access::Full) => {
+                    full += u32::from(matches!(access, Access::Full));
                     tried.push(server.id.clone());
                     missed = false;
                     continue;
@@ -313,17 +322,22 @@
     }
 
     /// Waits until the server may be sent the request.
-    async fn access(&self, server: &Arc<Server>, missed: bool, record: &mut Record) -> Access {
+    async fn access(
+        &self,
+        (key, server): (PlacementKey, &Arc<Server>),
+        missed: bool,
+        record: &mut Record,
+    ) -> Access {
         let Some(id) = self.adapter() else {
             return Access::Granted(None, Kept::default());
         };
         let started = self.entry.clock.now();
-        let access = access::request(&self.entry, server, &id, missed, self.until).await;
+        let access = access::request(&self.entry, (key, server), &id, missed, self.until).await;
         let took = self.entry.clock.now().saturating_sub(started);
         if took > Duration::ZERO {
             let version = match &access {
                 Access::Granted(version, _) => *version,
-                Access::Denied => None,
+                Access::Denied | Access::Full => None,
             };
             let took_ms = took.as_millis() as u64;
             record.add(Step::Asked { server: server.id.clone(), version, took_ms });
@@ -560,6 +574,15 @@
     Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
 }
 
+/// Refuses a request that several engines have no room for.
+fn all_full(attempts: &Attempts) -> Refusal {
+    if attempts.is_not_run() {
+        return Refusal::not_run(Code::Overloaded, "the engines asked are full")
+            .retry_after_ms(RETRY_FULL_MS);
+    }
+    Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
+}
+
 fn budget_spent(attempts: &Attempts) -> Refusal {
     let ran = if attempts.is_not_run() { Ran::No } else { Ran::Maybe };
     match ran {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -43,6 +43,9 @@
 /// How much shorter a load is taken to be that was complete when first asked after.
 const LOAD_TIME_DECAY: f64 = 0.95;
 const DEMAND_ENTRIES_MAX: usize = 4_096;
+/// Requests that may wait at an engine, as a share of its batch: one in so many. More
+/// would wait longer than a load at another engine takes.
+const WAITING_SHARE: u32 = 6;
 /// How often an order whose answer was lost is repeated before the engine is observed.
 const REPEATS_MAX: u32 = 4;
 /// What a second of waiting counts against further requests for an adapter.
@@ -104,6 +107,8 @@
     Loading,
     /// An older version is in use here; another engine has the new one sooner.
     InUse,
+    /// The engine runs as many requests as it can, and a few wait.
+    Full,
     /// The engine can't hold it.
     Impossible,
 }
@@ -176,6 +181,8 @@
     places: HashMap<AdapterId, Place>,
     /// Requests that may run on an adapter now.
     in_use: HashMap<AdapterId, u32>,
+    /// All of these together.
+    running: u32,
     wanted: HashMap<AdapterId, Wanted>,
     newest: HashMap<AdapterId, u64>,
     demand: DemandMap<AdapterId>,
@@ -200,6 +207,7 @@
             sequence: None,
             places: HashMap::new(),
             in_use: HashMap::new(),
+            running: 0,
             wanted: HashMap::new(),
             newest: HashMap::new(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
@@ -273,15 +281,22 @@
     /// Counts a request that may run on an adapter until [`EngineLedger::end`].
     pub fn begin(&mut self, id: &AdapterId) {
         *self.in_use.entry(id.clone()).or_default() += 1;
+        self.running += 1;
+    }
+
+    /// Returns the requests that may run on the engine's adapters now.
+    pub fn running(&self) -> u32 {
+        self.running
     }
 
     /// Counts off a request that no longer runs on an adapter.
     pub fn end(&mut self, id: &AdapterId) {
         if let Some(count) = self.in_use.get_mut(id) {
-            *count = count.saturating_sub(1);
+            *count -= 1;
             if *count == 0 {
                 self.in_use.remove(id);
             }
+            self.running -= 1;
         }
     }
 
@@ -302,6 +317,9 @@
         if id.model != self.model || self.capacity() == 0 {
             return Readiness::Impossible;
         }
+        if self.running >= self.spec.batch + self.spec.batch / WAITING_SHARE {
+            return Readiness::Full;
+        }
         let version = version.max(self.newest.get(id).copied().unwrap_or(0));
         if let Some(place) = self.places.get(id)
             && place.state == State::Ready
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -10,6 +10,8 @@
 use guavaspread_placement::{Demand, DemandMap};
 use slotmap::{SlotMap, new_key_type};
 
+use std::cell::Cell;
+
 use crate::prelude::*;
 use crate::roster::{AdapterId, Server};
 
@@ -110,6 +112,7 @@
     by_id: HashMap<Arc<str>, PlacementKey>,
     demand: DemandMap<AdapterId>,
     total: Demand,
+    turn: Cell<usize>,
 }
 
 impl Placement {
@@ -121,6 +124,7 @@
             by_id: HashMap::new(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             total: Demand::default(),
+            turn: Cell::new(0),
         }
     }
 
@@ -302,7 +306,12 @@
         if sound.is_empty() { open } else { sound }
     }
 
-    fn cheapest(&self, keys: Vec<PlacementKey>, cost: impl Fn(&Candidate) -> f64) -> Pick {
+    /// Picks the cheapest; of those that cost the same, each in turn.
+    fn cheapest(&self, mut keys: Vec<PlacementKey>, cost: impl Fn(&Candidate) -> f64) -> Pick {
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        let count = keys.len().max(1);
+        keys.rotate_left(turn % count);
         let candidates = keys.into_iter().filter_map(|key| Some((key, self.candidates.get(key)?)));
         let best = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
         best.map_or(Pick::None, |(key, c)| Pick::Server(key, c.server.clone()))
