--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -4,6 +4,7 @@
 //! [`SAMPLE`] has, so that the volume stays bounded under load.
 
 use guavaspread_fleet::Outcome;
+use guavaspread_telemetry::OBJECT_TARGET;
 use serde::Serialize;
 
 use crate::metrics::Ended;
@@ -46,6 +47,8 @@
     ms: u64,
     steps: &'a [Step],
     left_out: usize,
+    /// How many good ends this line stands for.
+    one_of: u64,
 }
 
 /// Collects the decisions about one request.
@@ -133,10 +136,11 @@
             ms: self.entry.clock.now().saturating_sub(self.started).as_millis() as u64,
             steps: &self.steps,
             left_out: self.left_out,
+            one_of: if good { SAMPLE } else { 1 },
         };
         match serde_json::to_string(&line) {
-            Ok(text) if good => log::info!(target: "request", "{text}"),
-            Ok(text) => log::warn!(target: "request", "{text}"),
+            Ok(text) if good => log::info!(target: OBJECT_TARGET, "{text}"),
+            Ok(text) => log::warn!(target: OBJECT_TARGET, "{text}"),
             Err(e) => log::error!("a request's record can't be written: {e}"),
         }
     }
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -13,6 +13,9 @@
 /// Lines waiting for the reader; beyond that lines are left out and counted.
 const LINES_MAX: usize = 2_048;
 
+/// The target of records whose text is a JSON object, which is written as one.
+pub const OBJECT_TARGET: &str = "object";
+
 /// Starts logging at `level` to standard output, as JSON lines.
 ///
 /// Lines go through a queue to a thread of their own. While its reader does not read,
@@ -27,13 +30,14 @@
 }
 
 /// Puts formatted lines into a bounded queue.
-pub(crate) struct QueueWriter {
+pub struct QueueWriter {
     lines: SyncSender<Vec<u8>>,
     left_out: AtomicU64,
 }
 
 impl QueueWriter {
-    pub(crate) fn start(out: impl Write + Send + 'static) -> Self {
+    /// Starts the thread that writes the lines to `out`.
+    pub fn start(out: impl Write + Send + 'static) -> Self {
         let (tx, rx) = sync_channel(LINES_MAX);
         std::thread::spawn(move || write_lines(&rx, out));
         QueueWriter { lines: tx, left_out: AtomicU64::new(0) }
@@ -60,7 +64,13 @@
 impl LogWriter for QueueWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let mut line = Vec::with_capacity(256);
-        json_format(&mut line, now, record)?;
+        if record.target() == OBJECT_TARGET {
+            let (level, time) = (record.level(), now.format_rfc3339());
+            let text = record.args();
+            write!(line, "{{\"level\":\"{level}\",\"timestamp\":\"{time}\",\"data\":{text}}}")?;
+        } else {
+            json_format(&mut line, now, record)?;
+        }
         line.push(b'\n');
         self.push(line);
         Ok(())
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -14,7 +14,7 @@
 #[cfg(feature = "traces")]
 mod traces;
 
-pub use bounded::start_bounded_logs;
+pub use bounded::{OBJECT_TARGET, QueueWriter, start_bounded_logs};
 pub use logs::{Error, LogHandle, Result, start_logs};
 #[cfg(feature = "traces")]
 pub use traces::{TraceHandle, adopt, start_traces, traceparent};
