Let two watchers of a large zone read the store for its hosts

Leases last 12 s and are renewed every 5 s. Ruled out: one watcher a zone (its failure sends all to the store at once).

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -10,11 +10,12 @@
     AdapterId, Catalog, HeldModel, LeaseRow, LoadReport, Order, OrderResult, Server,
 };
 use http::{HeaderMap, StatusCode, request};
+use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
 
 /// Tells two lists of the store apart, each followed by itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Feed {
     /// Configurations and versions of adapters.
     Control,
@@ -23,7 +24,7 @@
 }
 
 /// Holds one row of a list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Update {
     /// A configuration.
     Catalog(Box<Catalog>),
@@ -60,7 +61,7 @@
 }
 
 /// Holds rows of a list, as of a revision.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Listing {
     /// The rows, oldest change first.
     pub updates: Vec<Update>,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -4,9 +4,12 @@
 
 use crate::border::{Feed, Listing, StoreError, Update, Written};
 use crate::prelude::*;
+use crate::relays;
 use crate::settings::STORE_MARGIN_MS;
 use crate::state::Entry;
 
+/// Between two looks whether the watchers' news are still fresh.
+const RELAYED_PAUSE: Duration = Duration::from_millis(150);
 /// Between two tries to reach the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -15,6 +18,12 @@
     let mut after: Option<u64> = None;
     let mut away = false;
     loop {
+        if after.is_some() && entry.relays.is_fresh(feed, entry.clock.now()) {
+            // A watcher of the zone passes on what it reads.
+            tokio::time::sleep(RELAYED_PAUSE).await;
+            after = after.max(entry.relays.revision(feed));
+            continue;
+        }
         let listing = match after {
             None => entry.borders.store.list(feed).await,
             Some(after) => {
@@ -31,6 +40,7 @@
                 }
                 let whole = after.is_none();
                 after = Some(listing.revision.max(after.unwrap_or(0)));
+                entry.relays.on_read(&entry, feed, &listing, whole);
                 on_listing(&entry, feed, listing, whole, now);
                 if feed == Feed::Servers {
                     tokio::time::sleep(servers_pause(&entry)).await;
@@ -57,6 +67,9 @@
 /// when a cut begins blocks the list until it times out, which must not take much longer
 /// than a configuration may take.
 fn wait(entry: &Entry, feed: Feed) -> Duration {
+    if entry.relays.has_followers() {
+        return relays::CONTROL_WAIT;
+    }
     let cfg = entry.cfg.borrow();
     match feed {
         Feed::Control => Duration::from_millis(cfg.apply_ms),
@@ -67,10 +80,20 @@
 /// Returns the time between two questions for changes of the list of servers, which
 /// change all the time.
 fn servers_pause(entry: &Entry) -> Duration {
+    if entry.relays.has_followers() {
+        return relays::SERVERS_PAUSE;
+    }
     Duration::from_millis(entry.cfg.borrow().drain_ms.saturating_sub(STORE_MARGIN_MS + 400))
 }
 
-fn on_listing(entry: &Rc<Entry>, feed: Feed, listing: Listing, whole: bool, now: Duration) {
+/// Takes over rows, as read here or by a watcher.
+pub(crate) fn on_listing(
+    entry: &Rc<Entry>,
+    feed: Feed,
+    listing: Listing,
+    whole: bool,
+    now: Duration,
+) {
     let mut changes = Vec::new();
     let mut servers = Vec::new();
     for update in listing.updates {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod process;
 mod record;
 mod relay;
+mod relays;
 mod respond;
 mod settings;
 mod state;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::border::{Feed, Listing};
+
 /// What an entry host sends to the owner of an engine's orders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToOwner {
@@ -13,6 +15,28 @@
     Ask(Ask),
     /// Ends the use granted to the question of that number.
     Done(u32),
+    /// Asks for all that the host learns from the store.
+    Watch,
+}
+
+/// What an entry host sends back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum FromOwner {
+    /// Answers a question.
+    Reply(Reply),
+    /// Passes on what the store said.
+    News(News),
+}
+
+/// Passes on rows of a list, or only how old the host's knowledge is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct News {
+    /// The rows, if there are any.
+    pub listing: Option<(Feed, Listing)>,
+    /// Whether the rows are the whole list.
+    pub whole: bool,
+    /// The time since the store last answered for each list, in milliseconds.
+    pub ages_ms: [u32; 2],
 }
 
 /// Asks for the use of an adapter on an engine.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,18 +3,20 @@
 use std::net::SocketAddr;
 
 use futures::{SinkExt, StreamExt};
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::channel::{connect, set_options};
-use crate::message::{Answer, Ask, Reply, ToOwner};
+use crate::message::{Answer, Ask, FromOwner, Reply, ToOwner};
 use crate::orders::Use;
 use crate::prelude::*;
+use crate::relays;
 use crate::state::Entry;
 
-/// A question is a few hundred bytes at most.
-const FRAME_BYTES_MAX: usize = 4_096;
+/// The largest frame: a configuration of many routes.
+const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Questions waiting to be written to one peer; beyond that the peer is stuck.
 const QUEUE_MAX: usize = 256;
 /// How long a peer may take to say anything; a load that takes longer is announced.
@@ -134,17 +136,17 @@
                         ToOwner::Ask(ask)
                     }
                 };
-                let Ok(frame) = postcard::to_stdvec(&message) else { continue };
-                if framed.send(Bytes::from(frame)).await.is_err() {
+                if framed.send(self::frame(&message)).await.is_err() {
                     return;
                 }
             }
             frame = framed.next() => {
                 let Some(Ok(frame)) = frame else { return };
-                let Ok(Reply { number, answer }) = postcard::from_bytes::<Reply>(&frame) else {
-                    log::warn!("entry host {address} sent what can't be read");
+                let Ok(FromOwner::Reply(reply)) = postcard::from_bytes(&frame) else {
+                    log::warn!("entry host {address} sent what was not asked for");
                     return;
                 };
+                let Reply { number, answer } = reply;
                 let unwanted = match open.get(&number) {
                     Some(asker) => asker.try_send((answer, number)).is_err(),
                     None => true,
@@ -152,11 +154,9 @@
                 if answer != Answer::Loading {
                     open.remove(&number);
                 }
-                if unwanted && matches!(answer, Answer::Granted { .. }) {
-                    let done = postcard::to_stdvec(&ToOwner::Done(number)).unwrap_or_default();
-                    if framed.send(Bytes::from(done)).await.is_err() {
-                        return;
-                    }
+                let unused = unwanted && matches!(answer, Answer::Granted { .. });
+                if unused && framed.send(self::frame(&ToOwner::Done(number))).await.is_err() {
+                    return;
                 }
             }
         }
@@ -183,26 +183,26 @@
         log::debug!("a peer's connection takes no options: {e}");
     }
     let (mut sink, mut frames) = Framed::new(stream, codec()).split();
-    let (tx, mut rx) = mpsc::channel::<Reply>(QUEUE_MAX);
+    let (tx, mut rx) = mpsc::channel::<Bytes>(QUEUE_MAX);
     let writer = tokio::task::spawn_local(async move {
-        while let Some(reply) = rx.recv().await {
-            let Ok(frame) = postcard::to_stdvec(&reply) else { continue };
-            if sink.send(Bytes::from(frame)).await.is_err() {
+        while let Some(frame) = rx.recv().await {
+            if sink.send(frame).await.is_err() {
                 return;
             }
         }
     });
     // What this peer's requests use; all of it ends with the connection.
     let uses: Rc<RefCell<HashMap<u32, Use>>> = Rc::default();
-    while let Some(Ok(frame)) = frames.next().await {
-        match postcard::from_bytes::<ToOwner>(&frame) {
+    while let Some(Ok(received)) = frames.next().await {
+        match postcard::from_bytes::<ToOwner>(&received) {
             Ok(ToOwner::Ask(ask)) => {
                 let (entry, tx, uses) = (entry.clone(), tx.clone(), uses.clone());
                 tokio::task::spawn_local(async move {
                     let number = ask.number;
                     let waits = tx.clone();
                     let on_wait = move || {
-                        if waits.try_send(Reply { number, answer: Answer::Loading }).is_err() {
+                        let loading = Reply { number, answer: Answer::Loading };
+                        if waits.try_send(frame(&FromOwner::Reply(loading))).is_err() {
                             log::debug!("a peer was not told that a load takes time");
                         }
                     };
@@ -210,7 +210,8 @@
                     if let Some(granted) = granted {
                         uses.borrow_mut().insert(number, granted);
                     }
-                    if tx.send(Reply { number, answer }).await.is_err() {
+                    let reply = FromOwner::Reply(Reply { number, answer });
+                    if tx.send(frame(&reply)).await.is_err() {
                         uses.borrow_mut().remove(&number);
                     }
                 });
@@ -218,6 +219,9 @@
             Ok(ToOwner::Done(number)) => {
                 uses.borrow_mut().remove(&number);
             }
+            Ok(ToOwner::Watch) => {
+                tokio::task::spawn_local(relays::pass_on(entry.clone(), tx.clone()));
+            }
             Err(e) => {
                 log::warn!("a peer sent what can't be read: {e}");
                 break;
@@ -230,6 +234,19 @@
     let _ = writer.await;
 }
 
-fn codec() -> LengthDelimitedCodec {
+/// Encodes a message.
+pub(crate) fn frame(message: &impl Serialize) -> Bytes {
+    match postcard::to_stdvec(message) {
+        Ok(frame) => frame.into(),
+        Err(e) => {
+            // An empty frame is read as nothing that was asked for.
+            log::error!("a message to a peer can't be written: {e}");
+            Bytes::new()
+        }
+    }
+}
+
+/// Frames messages by their length.
+pub(crate) fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -15,14 +15,15 @@
 use crate::orders::Orders;
 use crate::peers::Peers;
 use crate::prelude::*;
+use crate::relays::{self, Relays};
 use crate::settings::EntrySettings;
 use crate::state::Entry;
 use crate::{follow, front, peers, relay};
 
 /// How long a lease lasts: longer than most outages of the store, so that loads go on.
-const LEASE: Duration = Duration::from_secs(10);
-/// Between two renewals: three may fail before a lease ends.
-const LEASE_RENEW: Duration = Duration::from_secs(3);
+const LEASE: Duration = Duration::from_secs(12);
+/// Between two renewals; a failed one is repeated at once.
+const LEASE_RENEW: Duration = Duration::from_secs(5);
 /// Added to the rest between two holders, for a lost packet's second try.
 const LEASE_QUARANTINE_MARGIN: Duration = Duration::from_millis(300);
 /// How long the load balancer takes to notice that the host is not ready: two questions.
@@ -58,6 +59,7 @@
     spawn_local(follow::follow(entry.clone(), Feed::Control));
     spawn_local(follow::follow(entry.clone(), Feed::Servers));
     spawn_local(follow::hold_leases(entry.clone()));
+    spawn_local(relays::subscribe(entry.clone()));
     spawn_local(sweep(entry.clone()));
     spawn_local(watch_settings(entry.clone(), path));
     let mut term = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
@@ -74,13 +76,14 @@
     let holder: Arc<str> = format!("{}@{}", cfg.host, cfg.ip).into();
     let quarantine = Duration::from_millis(cfg.lease_ms) + LEASE_QUARANTINE_MARGIN;
     let times = LeaseTimes { lease: LEASE, renew: LEASE_RENEW, quarantine };
-    let leases = LeaseBook::new(holder.clone(), cfg.peer_address(), times);
+    let leases = LeaseBook::new(holder.clone(), cfg.peer_address(), cfg.zone.clone(), times);
     Rc::new(Entry {
         clock: Clock::start(),
         borders: platform.borders(cfg.store),
         metrics: Metrics::new(),
         pool: Rc::new(Pool::default()),
         peers: Rc::new(Peers::default()),
+        relays: Relays::default(),
         holder,
         catalog: RefCell::new(None),
         versions: RefCell::default(),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,6 +10,7 @@
 use crate::orders::Orders;
 use crate::peers::Peers;
 use crate::prelude::*;
+use crate::relays::Relays;
 use crate::settings::EntrySettings;
 
 /// Holds the newest version of an adapter.
@@ -27,6 +28,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Rc<Pool>,
     pub(crate) peers: Rc<Peers>,
+    pub(crate) relays: Relays,
     /// The name under which this host holds leases.
     pub(crate) holder: Arc<str>,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -3,11 +3,12 @@
 //! A catalog is immutable; a newer version replaces it as a whole.
 
 use guavaspread_model::content_hash;
+use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
 
 /// Says what may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestClass {
     /// May run more than once.
     Safe,
@@ -18,7 +19,7 @@
 }
 
 /// Names a service that a route leads to, and its share of the requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The service's name.
     pub service: Arc<str>,
@@ -27,7 +28,7 @@
 }
 
 /// Describes one route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The route's name.
     pub name: Arc<str>,
@@ -77,7 +78,7 @@
 }
 
 /// Describes a model that engines can load.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelSpec {
     /// The model's name.
     pub name: Arc<str>,
@@ -90,7 +91,7 @@
 }
 
 /// Describes the engines of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests in a batch.
     pub batch: u32,
@@ -110,7 +111,7 @@
 }
 
 /// Describes a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The service's name.
     pub name: Arc<str>,
@@ -121,7 +122,7 @@
 }
 
 /// Bounds what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// The largest head of a request, in bytes.
     pub header_bytes: usize,
@@ -146,7 +147,7 @@
 }
 
 /// Holds one version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     /// The version; grows in uneven steps.
     pub version: u64,
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -34,6 +34,8 @@
     pub holder: Arc<str>,
     /// Where that entry host answers its peers.
     pub address: SocketAddr,
+    /// The availability zone of that entry host.
+    pub zone: Arc<str>,
     /// The lease's end, in milliseconds of the store's clock.
     pub until_ms: u64,
     /// The row's revision as read; 0 if there is none.
@@ -71,6 +73,7 @@
 pub struct LeaseBook {
     host: Arc<str>,
     address: SocketAddr,
+    zone: Arc<str>,
     times: LeaseTimes,
     clock: Option<StoreClock>,
     rows: BTreeMap<Arc<str>, LeaseRow>,
@@ -96,10 +99,11 @@
 
 impl LeaseBook {
     /// Makes the book of an entry host that holds nothing.
-    pub fn new(host: Arc<str>, address: SocketAddr, times: LeaseTimes) -> Self {
+    pub fn new(host: Arc<str>, address: SocketAddr, zone: Arc<str>, times: LeaseTimes) -> Self {
         LeaseBook {
             host,
             address,
+            zone,
             times,
             clock: None,
             rows: BTreeMap::new(),
@@ -190,6 +194,11 @@
         Some((&row.holder, row.address))
     }
 
+    /// Lists the leases as last read.
+    pub fn rows(&self) -> impl Iterator<Item = &LeaseRow> {
+        self.rows.values()
+    }
+
     /// Lists the engines that the host may order.
     pub fn owned(&self, now: Duration) -> Vec<Arc<str>> {
         let owned = self.own.keys().filter(|engine| self.fence(engine, now).is_some());
@@ -224,7 +233,8 @@
         let row = |engine: Arc<str>| {
             let revision = self.rows.get(&engine).map_or(0, |row| row.revision);
             let holder = self.host.clone();
-            LeaseRow { engine, holder, address: self.address, until_ms, revision }
+            let zone = self.zone.clone();
+            LeaseRow { engine, holder, address: self.address, zone, until_ms, revision }
         };
         engines.into_iter().map(row).collect()
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | choose a server | [`Placement`], [`Pick`] |
 //! | decide which orders an engine gets | [`EngineLedger`], [`Step`] |
 //! | own an engine's orders | [`LeaseBook`], [`LeaseNext`] |
+//! | choose who reads the store for a zone | [`watchers`], [`Hearsay`] |
 //! | remember which engine holds what | [`Grants`] |
 //! | tell a failure that another server may make good | [`Attempts`], [`Verdict`] |
 //!
@@ -24,6 +25,7 @@
 mod placement;
 mod prelude;
 mod roster;
+mod watch;
 
 pub use attempts::{Attempts, Outcome, Verdict};
 pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
@@ -32,3 +34,4 @@
 pub use ledger::{EngineLedger, Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
+pub use watch::{Hearsay, watchers};
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -7,6 +7,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 /// How long a server stays that was missing from the list when the store came back.
@@ -15,7 +17,7 @@
 const AWAY_MIN: Duration = Duration::from_millis(500);
 
 /// Names an adapter of a model.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AdapterId {
     /// The model's name.
     pub model: Arc<str>,
@@ -24,7 +26,7 @@
 }
 
 /// Names an adapter that a server holds, and its version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldAdapter {
     /// The adapter's name.
     pub name: Arc<str>,
@@ -33,7 +35,7 @@
 }
 
 /// Names a model that a server holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
     /// The model's name.
     pub name: Arc<str>,
@@ -44,7 +46,7 @@
 }
 
 /// Tells whether a server takes work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// It does.
     Ready,
@@ -56,7 +58,7 @@
 }
 
 /// Describes one backend server.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Server {
     /// Its id.
     pub id: Arc<str>,
@@ -131,6 +133,11 @@
         self.entries.values().map(|entry| &entry.server)
     }
 
+    /// Lists the servers with the revisions of their rows.
+    pub fn rows(&self) -> impl Iterator<Item = (&Arc<Server>, u64)> {
+        self.entries.values().map(|entry| (&entry.server, entry.revision))
+    }
+
     /// Reports that the store could not be read.
     pub fn on_away(&mut self, now: Duration) {
         self.away_since.get_or_insert(now);
--- /dev/null
+++ b/crates/fleet/src/watch.rs
@@ -0,0 +1,66 @@
+//! Who reads the store for the entry hosts of a zone.
+//!
+//! Each call to the store costs the same whoever makes it, so in a large zone two
+//! watchers follow it and pass on what they read. Every host still reads by itself when
+//! no watcher's news are fresh: a watcher that is cut off, slow or turned away by the
+//! store costs its followers a moment, never their configuration.
+
+use std::net::SocketAddr;
+
+use guavaspread_model::rendezvous_score;
+
+use crate::lease::LeaseRow;
+use crate::prelude::*;
+
+/// Watchers of a zone: one may fail without its followers turning to the store.
+const WATCHERS: usize = 2;
+/// Entry hosts of a zone from which watchers save more calls than they make.
+const ZONE_HOSTS_MIN: usize = 5;
+
+/// Lists the watchers of a zone, by the leases that its entry hosts hold.
+///
+/// Hosts that read the leases at different moments may choose differently, which costs
+/// calls and nothing else.
+pub fn watchers<'a>(
+    zone: &str,
+    rows: impl Iterator<Item = &'a LeaseRow>,
+) -> Vec<(Arc<str>, SocketAddr)> {
+    let mut hosts: BTreeMap<&Arc<str>, SocketAddr> = BTreeMap::new();
+    for row in rows.filter(|row| &*row.zone == zone) {
+        hosts.insert(&row.holder, row.address);
+    }
+    if hosts.len() < ZONE_HOSTS_MIN {
+        return Vec::new();
+    }
+    let mut ranked: Vec<(u64, &Arc<str>, SocketAddr)> = hosts
+        .into_iter()
+        .map(|(host, address)| (rendezvous_score(zone, host), host, address))
+        .collect();
+    ranked.sort_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(WATCHERS).map(|(_, host, address)| (host.clone(), address)).collect()
+}
+
+/// Tracks how fresh the news of the watchers are, for one list.
+#[derive(Clone, Debug, Default)]
+pub struct Hearsay {
+    /// When each watcher last heard from the store, as far as is known here.
+    heard: HashMap<SocketAddr, Duration>,
+}
+
+impl Hearsay {
+    /// Reports that a watcher's knowledge was `age` old when its news arrived at `now`.
+    pub fn on_news(&mut self, watcher: SocketAddr, age: Duration, now: Duration) {
+        self.heard.insert(watcher, now.saturating_sub(age));
+    }
+
+    /// Reports that a watcher is no longer heard.
+    pub fn on_lost(&mut self, watcher: SocketAddr) {
+        self.heard.remove(&watcher);
+    }
+
+    /// Tells whether some watcher's knowledge is younger than `limit`, so that it can stand
+    /// for a look at the store.
+    pub fn is_fresh(&self, limit: Duration, now: Duration) -> bool {
+        self.heard.values().any(|heard| now < *heard + limit)
+    }
+}
