Spread an adapter by more than one request

Cause: a host of the grown site sees 100 requests in the demand's half-life, so that a single one made 1 % and two engines; rare adapters were fetched twice. Change: the first request does not count, and shares are rounded.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -268,8 +268,9 @@
     fn replicas(&self, engines: &[PlacementKey], adapter: &AdapterId, now: Duration) -> usize {
         let total = self.total.count(now, DEMAND_HALF_LIFE).max(1.0);
         let count = self.demand.count(adapter, now);
-        let share = count / total;
-        let wanted = (share * SPREAD * engines.len() as f64).ceil() as usize;
+        // One request alone says nothing of an adapter's share.
+        let share = (count - 1.0).max(0.0) / total;
+        let wanted = (share * SPREAD * engines.len() as f64).round() as usize;
         let wanted = wanted.clamp(1, engines.len().max(1));
         let candidates: Vec<&Candidate> =
             engines.iter().filter_map(|key| self.candidates.get(*key)).collect();
