Pass a server's own failure on, and record every refusal's id and code

Cause: the operators' page showed records without a request id (refused before the id was read) and a 502 of this host in place of a server's own 500. Change: the id is read first; a refusal's code stands in its record; a server's failure is kept while another server is tried, and passed on if that fails too.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,7 +7,7 @@
 use guavaspread_fleet::{
     AdapterId, Attempts, Outcome, Pick, PlacementKey, RequestClass, Route, Server, Verdict,
 };
-use guavaspread_model::{Code, Ran, Refusal};
+use guavaspread_model::{Code, Refusal};
 use http::{HeaderMap, Request, Response, StatusCode, header, request};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full, Limited};
@@ -158,6 +158,7 @@
 }
 
 fn answer_refusal(mut record: Record, refusal: &Refusal) -> Response<RelayBody> {
+    record.code = Some(refusal.code.number());
     record.end(refusal.code.status(), "refused", true);
     refuse(refusal)
 }
@@ -169,6 +170,12 @@
     body: Incoming,
     record: &mut Record,
 ) -> Result<Call, Refusal> {
+    let asked = entry.borders.dialect.read(&head);
+    if let Ok(asked) = &asked {
+        record.request = asked.id.clone();
+        record.model = asked.model.clone();
+        record.adapter = asked.adapter.clone();
+    }
     if entry.closed.get() {
         let refusal = Refusal::not_run(Code::Stopping, "the host is stopping");
         return Err(refusal.retry_after_ms(RETRY_NOT_READY_MS));
@@ -181,15 +188,12 @@
     let route = catalog.route(&host, head.uri.path()).cloned();
     let route = route
         .ok_or_else(|| Refusal::not_run(Code::UnknownService, "no route leads from this path"))?;
-    let asked = entry.borders.dialect.read(&head).map_err(malformed)?;
+    let asked = asked.map_err(malformed)?;
     let service = route.service(&asked.id).cloned();
     let service = service
         .ok_or_else(|| Refusal::not_run(Code::NoBackend, "the route leads to no service"))?;
-    record.request = asked.id.clone();
     record.route = route.name.clone();
     record.service = service.clone();
-    record.model = asked.model.clone();
-    record.adapter = asked.adapter.clone();
     let patience = asked.patience.unwrap_or(route.timeout).min(route.timeout);
     let until = record.started() + patience;
     let left = until.saturating_sub(entry.clock.now());
@@ -245,19 +249,21 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut missed = false;
         let mut full = 0;
+        // A server's own failure is the better answer than one of this host.
+        let mut failure: Option<Box<Answered>> = None;
         loop {
             let now = self.entry.clock.now();
             if self.until < now + LEFT_MIN {
-                return answer_refusal(record, &out_of_time(&attempts));
+                return self.give_up(failure, &out_of_time(&attempts), record);
             }
             let Pick::Server(key, server) = self.pick(&tried, now) else {
                 record.add(Step::NoServer);
-                return answer_refusal(record, &no_server(&attempts));
+                return self.give_up(failure, &no_server(&attempts), record);
             };
             let (version, kept) = match self.access((key, &server), missed, &mut record).await {
                 Access::Granted(version, kept) => (version, kept),
                 Access::Full if full + 1 >= FULL_MAX => {
-                    return answer_refusal(record, &all_full(&attempts));
+                    return self.give_up(failure, &all_full(&attempts), record);
                 }
                 access @ (Access::Denied | Access::Full) => {
                     full += u32::from(matches!(access, Access::Full));
@@ -273,25 +279,31 @@
             }
             if attempts.sent() > 0 && !self.entry.try_retry(&self.service) {
                 record.add(Step::NoBudget);
-                return answer_refusal(record, &budget_spent(&attempts));
+                return self.give_up(failure, &budget_spent(&attempts), record);
             }
             let attempt = self.attempt(key, &server, version, &mut attempts, &mut record).await;
-            let (outcome, failure) = match attempt {
+            let (outcome, answered) = match attempt {
                 Attempt::Answered(answered, mut in_flight) => {
                     in_flight.kept = kept;
                     return self.pass_on(*answered, in_flight, record);
                 }
                 Attempt::Again => (Outcome::Refused, None),
-                Attempt::Failed(outcome, failure) => {
+                Attempt::Failed(outcome, answered) => {
                     tried.push(server.id.clone());
-                    (outcome, failure)
+                    (outcome, answered)
                 }
             };
-            missed = failure.is_none() && outcome == Outcome::Refused;
-            match attempts.after(&self.route, outcome) {
+            missed = outcome == Outcome::Refused;
+            failure = answered.or(failure);
+            let verdict = attempts.after(&self.route, outcome);
+            if self.entry.clock.now() >= self.until {
+                return self.give_up(failure, &out_of_time(&attempts), record);
+            }
+            match verdict {
                 Verdict::TryNext => {}
-                Verdict::NotRun => return answer_refusal(record, &no_server(&attempts)),
-                Verdict::MayHaveRun => return self.give_up(failure, record),
+                Verdict::NotRun | Verdict::MayHaveRun => {
+                    return self.give_up(failure, &no_server(&attempts), record);
+                }
             }
         }
     }
@@ -513,20 +525,18 @@
         res
     }
 
-    /// Answers that the request may have run; a server's own failure is passed on.
-    fn give_up(self, failure: Option<Box<Answered>>, record: Record) -> Response<RelayBody> {
-        if let Some(answered) = failure {
-            let key = PlacementKey::default();
-            let in_flight = InFlight::start(&self.entry, key);
-            return self.pass_on(*answered, in_flight, record);
-        }
-        let out_of_time = self.entry.clock.now() >= self.until;
-        let refusal = if out_of_time {
-            Refusal::maybe_ran(Code::DeadlinePassed, "no answer came in time")
-        } else {
-            Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
+    /// Ends a request without success; a server's own failure is passed on.
+    fn give_up(
+        self,
+        failure: Option<Box<Answered>>,
+        refusal: &Refusal,
+        record: Record,
+    ) -> Response<RelayBody> {
+        let Some(answered) = failure else {
+            return answer_refusal(record, refusal);
         };
-        answer_refusal(record, &refusal)
+        let in_flight = InFlight::start(&self.entry, PlacementKey::default());
+        self.pass_on(*answered, in_flight, record)
     }
 }
 
@@ -571,6 +581,10 @@
         return Refusal::not_run(Code::NoBackend, "no server takes the request now")
             .retry_after_ms(RETRY_NO_SERVER_MS);
     }
+    may_have_run()
+}
+
+fn may_have_run() -> Refusal {
     Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
 }
 
@@ -580,21 +594,18 @@
         return Refusal::not_run(Code::Overloaded, "the engines asked are full")
             .retry_after_ms(RETRY_FULL_MS);
     }
-    Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
+    may_have_run()
 }
 
 fn budget_spent(attempts: &Attempts) -> Refusal {
-    let ran = if attempts.is_not_run() { Ran::No } else { Ran::Maybe };
-    match ran {
-        Ran::No => Refusal::not_run(Code::RetryBudgetSpent, "no repeated send is left")
-            .retry_after_ms(RETRY_NO_SERVER_MS),
-        Ran::Maybe | Ran::Yes => {
-            Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
-        }
+    if attempts.is_not_run() {
+        return Refusal::not_run(Code::RetryBudgetSpent, "no repeated send is left")
+            .retry_after_ms(RETRY_NO_SERVER_MS);
     }
+    may_have_run()
 }
 
-/// Keeps the status type in one place for the readiness page.
+/// Answers the load balancer whether this host takes callers.
 pub(crate) fn readiness(entry: &Entry) -> (StatusCode, String) {
     match entry.is_ready() {
         true => (StatusCode::OK, "ready\n".to_owned()),
