--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -43,6 +43,9 @@
 /// How much shorter a load is taken to be that was complete when first asked after.
 const LOAD_TIME_DECAY: f64 = 0.95;
 const DEMAND_ENTRIES_MAX: usize = 4_096;
+/// Requests that may wait at an engine, as a share of its batch: one in so many. More
+/// would wait longer than a load at another engine takes.
+const WAITING_SHARE: u32 = 6;
 /// How often an order whose answer was lost is repeated before the engine is observed.
 const REPEATS_MAX: u32 = 4;
 /// What a second of waiting counts against further requests for an adapter.
@@ -104,7 +107,7 @@
     Loading,
     /// An older version is in use here; another engine has the new one sooner.
     InUse,
-    /// The engine runs as many requests as it can; more would wait, or preempt others.
+    /// The engine runs as many requests as it can, and a few wait.
     Full,
     /// The engine can't hold it.
     Impossible,
@@ -314,7 +317,7 @@
         if id.model != self.model || self.capacity() == 0 {
             return Readiness::Impossible;
         }
-        if self.running >= self.spec.batch {
+        if self.running >= self.spec.batch + self.spec.batch / WAITING_SHARE {
             return Readiness::Full;
         }
         let version = version.max(self.newest.get(id).copied().unwrap_or(0));
