Split the relay and the ledger by what they do

Change: bodies, intake, headers and refusals in files of their own; orders' types and the choice of the next order apart from the ledger's state. No behaviour changes.

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -103,3 +103,11 @@
         });
     }
 }
+
+/// Answers the load balancer whether this host takes callers.
+pub(crate) fn readiness(entry: &Entry) -> (StatusCode, String) {
+    match entry.is_ready() {
+        true => (StatusCode::OK, "ready\n".to_owned()),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,11 +12,14 @@
 //! | speak HTTP to servers | [`Pool`] |
 
 mod access;
+mod body;
 mod border;
 mod channel;
 mod clock;
 mod follow;
 mod front;
+mod headers;
+mod intake;
 mod message;
 mod metrics;
 mod orders;
@@ -24,6 +27,7 @@
 mod prelude;
 mod process;
 mod record;
+mod refusals;
 mod relay;
 mod relays;
 mod respond;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -18,7 +18,7 @@
 use crate::relays::{self, Relays};
 use crate::settings::EntrySettings;
 use crate::state::Entry;
-use crate::{follow, front, peers, relay};
+use crate::{follow, front, peers};
 
 /// How long a lease lasts: longer than most outages of the store, so that loads go on.
 const LEASE: Duration = Duration::from_secs(12);
@@ -52,7 +52,7 @@
     log::info!("{} in {} serves callers on {}", cfg.host, cfg.zone, cfg.listen);
     spawn_local(front::serve_callers(entry.clone(), callers));
     let shown = entry.clone();
-    spawn_local(front::serve_page(ready, move || relay::readiness(&shown)));
+    spawn_local(front::serve_page(ready, move || front::readiness(&shown)));
     let shown = entry.clone();
     spawn_local(front::serve_page(metrics, move || (StatusCode::OK, shown.metrics.text())));
     spawn_local(peers::serve(entry.clone(), peer_listener));
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,23 +1,24 @@
 //! Carries one request to a backend server and its answer back.
 
 use std::convert::Infallible;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 
 use guavaspread_fleet::{
     AdapterId, Attempts, Outcome, Pick, PlacementKey, RequestClass, Route, Server, Verdict,
 };
-use guavaspread_model::{Code, Refusal};
-use http::{HeaderMap, Request, Response, StatusCode, header, request};
-use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, Full, Limited};
+use guavaspread_model::Refusal;
+use http::{Request, Response, header, request};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, Kept};
+use crate::body::{InFlight, RelayBody, Relayed};
 use crate::border::{AnswerHead, Asked, Sending};
-use crate::channel::{AnswerBody, Answered, SendError};
+use crate::channel::{Answered, SendError};
+use crate::headers::strip_hop_by_hop;
+use crate::intake::prepare;
 use crate::prelude::*;
 use crate::record::{Record, Step};
+use crate::refusals::{all_full, budget_spent, no_server, out_of_time};
 use crate::respond::refuse;
 use crate::state::Entry;
 
@@ -28,121 +29,8 @@
 const STREAM_MARGIN: Duration = Duration::from_millis(350);
 /// A request with less time left than that is not sent.
 const LEFT_MIN: Duration = Duration::from_millis(10);
-/// When to come back while no server takes work: a server's restart takes seconds.
-const RETRY_NO_SERVER_MS: u32 = 1_000;
-/// When to come back after an adapter was not loaded in time: a load's duration.
-const RETRY_NOT_LOADED_MS: u32 = 400;
-/// When to come back to full engines: about the time in which half of a batch ends.
-const RETRY_FULL_MS: u32 = 300;
 /// Full engines that a request asks before it is refused.
 const FULL_MAX: u32 = 4;
-/// When to come back to a host that has no configuration yet, and finds others ready.
-const RETRY_NOT_READY_MS: u32 = 500;
-
-/// Holds the body of an answer: this host's own, or a server's.
-pub(crate) enum RelayBody {
-    /// Written here.
-    Own(Full<Bytes>),
-    /// Passed on as it arrives.
-    Relayed(Box<Relayed>),
-}
-
-/// Passes a server's body on; dropping it closes the server's connection.
-pub(crate) struct Relayed {
-    body: AnswerBody,
-    until: Pin<Box<tokio::time::Sleep>>,
-    status: u16,
-    record: Record,
-    _in_flight: InFlight,
-}
-
-/// Ends a body that must not look complete.
-#[derive(Debug)]
-pub(crate) struct BrokenOff;
-
-impl std::fmt::Display for BrokenOff {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the answer broke off")
-    }
-}
-
-impl std::error::Error for BrokenOff {}
-
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = BrokenOff;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match self.get_mut() {
-            RelayBody::Own(body) => Pin::new(body).poll_frame(cx).map_err(|e| match e {}),
-            RelayBody::Relayed(relayed) => relayed.poll(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            RelayBody::Own(body) => body.is_end_stream(),
-            RelayBody::Relayed(relayed) => relayed.body.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            RelayBody::Own(body) => body.size_hint(),
-            RelayBody::Relayed(relayed) => relayed.body.size_hint(),
-        }
-    }
-}
-
-impl Relayed {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match Pin::new(&mut self.body).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                if self.body.is_end_stream() {
-                    self.record.end(self.status, "whole", false);
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(None) => {
-                self.record.end(self.status, "whole", false);
-                Poll::Ready(None)
-            }
-            Poll::Ready(Some(Err(e))) => {
-                self.record.failed(Outcome::Unknown, e.to_string());
-                self.record.end(self.status, "broken-off", false);
-                Poll::Ready(Some(Err(BrokenOff)))
-            }
-            Poll::Pending if self.until.as_mut().poll(cx).is_ready() => {
-                self.record.end(self.status, "out-of-time", false);
-                Poll::Ready(Some(Err(BrokenOff)))
-            }
-            Poll::Pending => Poll::Pending,
-        }
-    }
-}
-
-/// Counts a request as under way at a server until it is dropped.
-struct InFlight {
-    entry: Rc<Entry>,
-    key: PlacementKey,
-    kept: Kept,
-}
-
-impl InFlight {
-    fn start(entry: &Rc<Entry>, key: PlacementKey) -> Self {
-        entry.placement.borrow_mut().on_sent(key);
-        InFlight { entry: entry.clone(), key, kept: Kept::default() }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.entry.placement.borrow_mut().on_ended(self.key);
-    }
-}
 
 /// Answers a caller's request.
 pub(crate) async fn handle(
@@ -163,76 +51,16 @@
     refuse(refusal)
 }
 
-/// Finds the route of a request and reads its body.
-async fn prepare(
-    entry: &Rc<Entry>,
-    head: request::Parts,
-    body: Incoming,
-    record: &mut Record,
-) -> Result<Call, Refusal> {
-    let asked = entry.borders.dialect.read(&head);
-    if let Ok(asked) = &asked {
-        record.request = asked.id.clone();
-        record.model = asked.model.clone();
-        record.adapter = asked.adapter.clone();
-    }
-    if entry.closed.get() {
-        let refusal = Refusal::not_run(Code::Stopping, "the host is stopping");
-        return Err(refusal.retry_after_ms(RETRY_NOT_READY_MS));
-    }
-    let Some(catalog) = entry.catalog.borrow().clone() else {
-        let refusal = Refusal::not_run(Code::ConfigInDoubt, "no configuration is known here yet");
-        return Err(refusal.retry_after_ms(RETRY_NOT_READY_MS));
-    };
-    let host = host_of(&head).ok_or_else(|| malformed("the request names no host"))?;
-    let route = catalog.route(&host, head.uri.path()).cloned();
-    let route = route
-        .ok_or_else(|| Refusal::not_run(Code::UnknownService, "no route leads from this path"))?;
-    let asked = asked.map_err(malformed)?;
-    let service = route.service(&asked.id).cloned();
-    let service = service
-        .ok_or_else(|| Refusal::not_run(Code::NoBackend, "the route leads to no service"))?;
-    record.route = route.name.clone();
-    record.service = service.clone();
-    let patience = asked.patience.unwrap_or(route.timeout).min(route.timeout);
-    let until = record.started() + patience;
-    let left = until.saturating_sub(entry.clock.now());
-    let reading = Limited::new(body, catalog.limits.body_bytes).collect();
-    let body = match tokio::time::timeout(left, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::not_run(Code::BodyTooLarge, "the body exceeds the limit"));
-        }
-        Ok(Err(e)) => return Err(malformed(format!("the body broke off: {e}"))),
-        Err(_) => return Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
-    };
-    entry.on_request(&service);
-    Ok(Call { entry: entry.clone(), route, service, asked, head, body, until })
-}
-
-fn malformed(detail: impl Into<String>) -> Refusal {
-    Refusal::not_run(Code::MalformedRequest, detail)
-}
-
-fn host_of(head: &request::Parts) -> Option<String> {
-    let host = match head.uri.host() {
-        Some(host) => host,
-        None => head.headers.get(header::HOST)?.to_str().ok()?,
-    };
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    (!name.is_empty()).then(|| name.to_ascii_lowercase())
-}
-
 /// Holds a request on its way to a server.
-struct Call {
-    entry: Rc<Entry>,
-    route: Arc<Route>,
-    service: Arc<str>,
-    asked: Asked,
-    head: request::Parts,
-    body: Bytes,
+pub(crate) struct Call {
+    pub(crate) entry: Rc<Entry>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) asked: Asked,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
     /// When its caller or its route gives it up.
-    until: Duration,
+    pub(crate) until: Duration,
 }
 
 /// Tells how one attempt ended.
@@ -508,17 +336,7 @@
         let left = self.until.saturating_sub(now) + STREAM_MARGIN;
         let mut headers = head.headers;
         strip_hop_by_hop(&mut headers);
-        let mut record = record;
-        if body.is_end_stream() {
-            record.end(status, "whole", false);
-        }
-        let relayed = Relayed {
-            body,
-            until: Box::pin(tokio::time::sleep(left)),
-            status,
-            record,
-            _in_flight: in_flight,
-        };
+        let relayed = Relayed::new(body, left, status, record, in_flight);
         let mut res = Response::new(RelayBody::Relayed(Box::new(relayed)));
         *res.status_mut() = head.status;
         *res.headers_mut() = headers;
@@ -539,76 +357,3 @@
         self.pass_on(*answered, in_flight, record)
     }
 }
-
-/// Removes the headers that concern one connection only, RFC 9110, 7.6.1.
-fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_owned())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    let always = [
-        header::CONNECTION,
-        header::TRANSFER_ENCODING,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-    ];
-    for name in always {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-}
-
-fn out_of_time(attempts: &Attempts) -> Refusal {
-    if attempts.is_not_run() {
-        return Refusal::not_run(Code::DeadlineUnreachable, "no server could run it in time")
-            .retry_after_ms(RETRY_NOT_LOADED_MS);
-    }
-    Refusal::maybe_ran(Code::DeadlinePassed, "no answer came in time")
-}
-
-fn no_server(attempts: &Attempts) -> Refusal {
-    if attempts.is_not_run() {
-        return Refusal::not_run(Code::NoBackend, "no server takes the request now")
-            .retry_after_ms(RETRY_NO_SERVER_MS);
-    }
-    may_have_run()
-}
-
-fn may_have_run() -> Refusal {
-    Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
-}
-
-/// Refuses a request that several engines have no room for.
-fn all_full(attempts: &Attempts) -> Refusal {
-    if attempts.is_not_run() {
-        return Refusal::not_run(Code::Overloaded, "the engines asked are full")
-            .retry_after_ms(RETRY_FULL_MS);
-    }
-    may_have_run()
-}
-
-fn budget_spent(attempts: &Attempts) -> Refusal {
-    if attempts.is_not_run() {
-        return Refusal::not_run(Code::RetryBudgetSpent, "no repeated send is left")
-            .retry_after_ms(RETRY_NO_SERVER_MS);
-    }
-    may_have_run()
-}
-
-/// Answers the load balancer whether this host takes callers.
-pub(crate) fn readiness(entry: &Entry) -> (StatusCode, String) {
-    match entry.is_ready() {
-        true => (StatusCode::OK, "ready\n".to_owned()),
-        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-    }
-}
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -5,8 +5,8 @@
 use http_body_util::Full;
 use serde::Serialize;
 
+use crate::body::RelayBody;
 use crate::prelude::*;
-use crate::relay::RelayBody;
 
 #[derive(Serialize)]
 struct Problem<'a> {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -6,9 +6,12 @@
 //! from the moment it may be loaded until it is known to be gone, because an engine
 //! that is ordered to load more than it has places for crashes.
 
+mod choose;
+
 use guavaspread_placement::DemandMap;
 
 use crate::catalog::EngineSpec;
+use crate::order::{Order, OrderKind, OrderResult, Readiness, Step};
 use crate::prelude::*;
 use crate::roster::{AdapterId, HeldModel};
 
@@ -53,77 +56,6 @@
 /// Adapters that an engine keeps at hand after they were unloaded.
 const RECENT_MAX: usize = 96;
 
-/// Tells what an order does.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OrderKind {
-    /// Load a model.
-    LoadModel,
-    /// Load an adapter, or replace it by a newer version.
-    Load {
-        /// The adapter's name.
-        adapter: Arc<str>,
-        /// Its version; `None` for the newest.
-        version: Option<u64>,
-    },
-    /// Unload an adapter.
-    Unload {
-        /// The adapter's name.
-        adapter: Arc<str>,
-    },
-}
-
-/// Holds one order for an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    /// The model concerned.
-    pub model: Arc<str>,
-    /// What to do.
-    pub kind: OrderKind,
-    /// The number of orders that the engine must have accepted so far.
-    pub expected: u64,
-}
-
-/// Tells what an engine answered to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderResult {
-    /// It carries the order out.
-    Accepted,
-    /// What was ordered holds already.
-    Holds,
-    /// Another order is under way, or the number of orders differs.
-    Conflict,
-    /// The engine refused for another reason; nothing was done.
-    Refused,
-    /// No answer: the order may have been accepted.
-    Lost,
-}
-
-/// Tells whether an adapter can be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Readiness {
-    /// It is loaded in that version.
-    Ready(u64),
-    /// It is being loaded, or waits for that.
-    Loading,
-    /// An older version is in use here; another engine has the new one sooner.
-    InUse,
-    /// The engine runs as many requests as it can, and a few wait.
-    Full,
-    /// The engine can't hold it.
-    Impossible,
-}
-
-/// Answers what to do next for an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// Send this order and report its result.
-    Order(Order),
-    /// Ask the engine what it holds.
-    Observe,
-    /// Nothing until that moment, unless something new is reported.
-    Wait(Option<Duration>),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Ready,
@@ -544,108 +476,6 @@
         let room = (self.spec.weights_mb - model.weights_mb) / model.adapter_mb.max(0.001);
         self.spec.adapter_slots.min(room.max(0.0) as usize)
     }
-
-    /// Chooses the next order, or tells when to look again.
-    fn next_kind(&mut self, now: Duration) -> Result<OrderKind, Option<Duration>> {
-        match self.model_state {
-            ModelState::Absent => return Ok(OrderKind::LoadModel),
-            ModelState::Loading { ask_at } if ask_at <= now => return Ok(OrderKind::LoadModel),
-            ModelState::Loading { ask_at } => return Err(Some(ask_at)),
-            ModelState::Ready => {}
-        }
-        if let Some(kind) = self.next_question(now) {
-            return Ok(kind);
-        }
-        match self.next_load(now) {
-            Some(kind) => Ok(kind),
-            None => Err(self.wake_at()),
-        }
-    }
-
-    /// Tells whether another load may start, and whether it may be one from the store.
-    fn room_for_loads(&self) -> (bool, bool) {
-        let loading = self.places.iter().filter(|(_, p)| matches!(p.state, State::Loading { .. }));
-        let (mut loads, mut fetches) = (0, 0);
-        for (id, _) in loading {
-            loads += 1;
-            fetches += usize::from(!self.recent.contains(id));
-        }
-        (loads < LOADS_MAX, loads < LOADS_MAX && fetches < FETCHES_MAX)
-    }
-
-    /// Asks whether a load or unload is complete, by ordering it again.
-    fn next_question(&mut self, now: Duration) -> Option<OrderKind> {
-        let (id, place) = self.places.iter().find(|(_, place)| match place.state {
-            State::Ready => false,
-            State::Loading { ask_at, .. } | State::Unloading { ask_at } => ask_at <= now,
-        })?;
-        let adapter = id.adapter.clone();
-        match place.state {
-            State::Loading { since, .. } if now >= since + LOAD_TIMEOUT => {
-                self.observe_at = Some(now);
-                Some(OrderKind::Load { adapter, version: Some(place.version) })
-            }
-            State::Loading { .. } => {
-                Some(OrderKind::Load { adapter, version: Some(place.version) })
-            }
-            State::Ready | State::Unloading { .. } => Some(OrderKind::Unload { adapter }),
-        }
-    }
-
-    /// Loads the adapter that is wanted most, after making room for it; one at hand goes
-    /// before those that come from the store.
-    fn next_load(&self, now: Duration) -> Option<OrderKind> {
-        let (may_load, may_fetch) = self.room_for_loads();
-        let is_missing = |id: &AdapterId, wanted: &Wanted| match self.places.get(id) {
-            None => true,
-            Some(place) => place.state == State::Ready && place.version < wanted.version,
-        };
-        // Many requests, or one that has waited long, go first.
-        let weight = |wanted: &Wanted| {
-            let waited = now.saturating_sub(wanted.since).as_secs_f64();
-            f64::from(wanted.waiting) + waited * WAITING_PER_S
-        };
-        let waiting = self.wanted.iter().filter(|(id, wanted)| is_missing(id, wanted));
-        let (id, wanted) = waiting.max_by(|(a, x), (b, y)| {
-            let at_hand = self.recent.contains(*a).cmp(&self.recent.contains(*b));
-            at_hand.then(weight(x).total_cmp(&weight(y))).then(b.cmp(a))
-        })?;
-        let is_at_hand = self.recent.contains(id);
-        if !(if is_at_hand { may_load } else { may_fetch }) {
-            return None;
-        }
-        if !self.places.contains_key(id) && self.places.len() >= self.capacity() {
-            return self.victim(now).map(|adapter| OrderKind::Unload { adapter });
-        }
-        let version = (wanted.version > 0).then_some(wanted.version);
-        Some(OrderKind::Load { adapter: id.adapter.clone(), version })
-    }
-
-    /// Picks the adapter that makes way: the least wanted of those that no request uses.
-    ///
-    /// An unload of an adapter in use would hold up every other order until its runs end.
-    fn victim(&self, now: Duration) -> Option<Arc<str>> {
-        // One unload at a time makes room for one load.
-        if self.places.values().any(|place| matches!(place.state, State::Unloading { .. })) {
-            return None;
-        }
-        let idle = self.places.iter().filter(|(id, place)| {
-            place.state == State::Ready
-                && !self.in_use.contains_key(*id)
-                && !self.wanted.contains_key(*id)
-        });
-        let demand = |id: &AdapterId| self.demand.count(id, now);
-        let coldest = idle.min_by(|(a, _), (b, _)| demand(a).total_cmp(&demand(b)));
-        coldest.map(|(id, _)| id.adapter.clone())
-    }
-
-    fn wake_at(&self) -> Option<Duration> {
-        let asks = self.places.values().filter_map(|place| match place.state {
-            State::Ready => None,
-            State::Loading { ask_at, .. } | State::Unloading { ask_at } => Some(ask_at),
-        });
-        asks.min()
-    }
 }
 
 /// Tells whether an order for a place is under way though the engine lists `version` there.
