Let requests wait 150 ms for a process that has just started

Cause: a process is ready 30 ms after its start, and the requests of those 30 ms were refused with half a second to come back. Change: they wait for the configuration and the servers, 150 ms at most.

--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -11,6 +11,19 @@
 use crate::relay::Call;
 use crate::state::Entry;
 
+/// How long a request waits for a process that has just started to learn where to send it;
+/// with a store that answers that takes 30 ms.
+const START_TIMEOUT: Duration = Duration::from_millis(150);
+const START_POLL: Duration = Duration::from_millis(10);
+
+/// Waits until the process has a configuration and servers, if it has just started.
+async fn await_start(entry: &Entry) {
+    let started = entry.clock.now();
+    while !entry.knows_servers() && entry.clock.now() < started + START_TIMEOUT {
+        tokio::time::sleep(START_POLL).await;
+    }
+}
+
 /// Finds the route of a request and reads its body.
 pub(crate) async fn prepare(
     entry: &Rc<Entry>,
@@ -27,6 +40,7 @@
     if entry.closed.get() {
         return Err(stopping());
     }
+    await_start(entry).await;
     let Some(catalog) = entry.catalog.borrow().clone() else {
         return Err(no_configuration());
     };
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -52,8 +52,12 @@
 impl Entry {
     /// Tells whether requests are taken and can be routed.
     pub(crate) fn is_ready(&self) -> bool {
-        !*self.stopping.borrow()
-            && self.catalog.borrow().is_some()
+        !*self.stopping.borrow() && self.knows_servers()
+    }
+
+    /// Tells whether there is a configuration and a server to route to.
+    pub(crate) fn knows_servers(&self) -> bool {
+        self.catalog.borrow().is_some()
             && self.roster.borrow().servers().any(|server| server.is_ready())
     }
 
