--- a/crates/entry/src/channel.rs
+++ b/crates/entry/src/channel.rs
@@ -128,7 +128,6 @@
 #[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<ServerKey, Vec<Channel>>>,
-    opened: Cell<u64>,
 }
 
 /// Holds the head of an answer, and its body on a connection of its own.
@@ -156,10 +155,7 @@
     ) -> Result<Answered, SendError> {
         let mut channel = match self.take(address, owner, clock.now()) {
             Some(channel) => channel,
-            None => {
-                self.opened.set(self.opened.get() + 1);
-                Channel::open(address).await?
-            }
+            None => Channel::open(address).await?,
         };
         let res = channel.send(req).await?;
         let (head, body) = res.into_parts();
@@ -197,11 +193,6 @@
         timed.unwrap_or_else(|_| Err(SendError::Unknown("timed out".to_owned())))
     }
 
-    /// Returns how many connections were opened.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Closes the idle connections to a server.
     pub fn close(&self, owner: &str) {
         self.idle.borrow_mut().retain(|(_, id), _| &**id != owner);
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -279,14 +279,6 @@
         *newest = version.max(*newest);
     }
 
-    /// Returns what is known of an adapter without asking for it.
-    pub fn readiness(&self, id: &AdapterId) -> Readiness {
-        match self.places.get(id) {
-            Some(place) if place.state == State::Ready => Readiness::Ready(place.version),
-            _ => Readiness::Loading,
-        }
-    }
-
     /// Reports that the engine refused a request because it does not hold the adapter.
     pub fn on_missing(&mut self, now: Duration) {
         self.observe_at.get_or_insert(now);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -6,12 +6,12 @@
 //! meet on one engine, where their last load is still at hand; popular ones spread.
 //! Plain services go by load, the entry host's own zone first.
 
+use std::cell::Cell;
+
 use guavaspread_model::rendezvous_score;
 use guavaspread_placement::{Demand, DemandMap};
 use slotmap::{SlotMap, new_key_type};
 
-use std::cell::Cell;
-
 use crate::prelude::*;
 use crate::roster::{AdapterId, Server};
 
