Refuse an adapter that its engine does not know at once

Cause: a request for an adapter that does not exist waited for a load that the engine refused again and again, until its time was up. It is no 404, since the engine may hear of a new adapter later than callers do. Ruled out: going by the count of adapters in the configuration (it may grow first).

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -39,6 +39,8 @@
     Denied,
     /// It has as many requests as it can run.
     Full,
+    /// It knows no such adapter.
+    Unknown,
 }
 
 /// Asks for the use of an adapter on an engine.
@@ -68,6 +70,7 @@
     }
     match answer {
         Some((Answer::Full { .. }, _)) => Access::Full,
+        Some((Answer::Unknown, _)) => Access::Unknown,
         Some((Answer::Granted { version, .. }, kept)) => {
             let now = entry.clock.now();
             let grant = Grant { version, until: now + GRANT_KEPT_FOR };
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -88,6 +88,8 @@
         /// Requests that run on its adapters.
         running: u32,
     },
+    /// The engine knows no such adapter.
+    Unknown,
     /// The host asked does not own the engine's orders.
     NotOwner,
 }
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -107,6 +107,7 @@
                     return (Answer::Full { running }, None);
                 }
                 Readiness::Impossible | Readiness::InUse => return (Answer::Impossible, None),
+                Readiness::Unknown => return (Answer::Unknown, None),
                 Readiness::Loading if now >= until => return (Answer::NotYet, None),
                 Readiness::Loading => owned.wanted.notify_one(),
             }
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -61,6 +61,16 @@
     may_have_run()
 }
 
+/// Refuses a request for an adapter that its engine does not know. It is no 404: the
+/// engine may hear of a new adapter later than callers do.
+pub(crate) fn unknown(attempts: &Attempts) -> Refusal {
+    if attempts.is_not_run() {
+        return Refusal::not_run(Code::LoadFailed, "the engine knows no such adapter")
+            .retry_after_ms(RETRY_NO_SERVER_MS);
+    }
+    may_have_run()
+}
+
 /// Refuses a request that may not be sent again.
 pub(crate) fn budget_spent(attempts: &Attempts) -> Refusal {
     if attempts.is_not_run() {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::intake::prepare;
 use crate::prelude::*;
 use crate::record::{Record, Step};
-use crate::refusals::{all_full, budget_spent, no_server, out_of_time};
+use crate::refusals::{all_full, budget_spent, no_server, out_of_time, unknown};
 use crate::respond::refuse;
 use crate::state::Entry;
 
@@ -93,6 +93,7 @@
                 Access::Full if full + 1 >= FULL_MAX => {
                     return self.give_up(failure, &all_full(&attempts), record);
                 }
+                Access::Unknown => return self.give_up(failure, &unknown(&attempts), record),
                 access @ (Access::Denied | Access::Full) => {
                     full += u32::from(matches!(access, Access::Full));
                     tried.push(server.id.clone());
@@ -177,7 +178,7 @@
         if took > Duration::ZERO {
             let version = match &access {
                 Access::Granted(version, _) => *version,
-                Access::Denied | Access::Full => None,
+                Access::Denied | Access::Full | Access::Unknown => None,
             };
             let took_ms = took.as_millis() as u64;
             record.add(Step::Asked { server: server.id.clone(), version, took_ms });
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -33,6 +33,8 @@
 const REPORT_LAG_MAX: Duration = Duration::from_millis(1_000);
 /// Before an engine is asked that carries out another order, or counts otherwise.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(100);
+/// How long an adapter that the engine did not know is not asked for again.
+const UNKNOWN_FOR: Duration = Duration::from_secs(2);
 /// Before an order is repeated that the engine refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
 /// A load that is not complete after that long was lost; the engine is asked what it holds.
@@ -117,6 +119,8 @@
     running: u32,
     wanted: HashMap<AdapterId, Wanted>,
     newest: HashMap<AdapterId, u64>,
+    /// Adapters that the engine did not know, and until when that counts.
+    unknown: HashMap<AdapterId, Duration>,
     demand: DemandMap<AdapterId>,
     recent: std::collections::VecDeque<AdapterId>,
     under_way: Option<Order>,
@@ -142,6 +146,7 @@
             running: 0,
             wanted: HashMap::new(),
             newest: HashMap::new(),
+            unknown: HashMap::new(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             recent: std::collections::VecDeque::new(),
             under_way: None,
@@ -205,6 +210,7 @@
 
     /// Counts a request that waits for an adapter until [`EngineLedger::leave`].
     pub fn wait(&mut self, id: &AdapterId, now: Duration) {
+        self.unknown.retain(|_, until| *until > now);
         self.demand.add(id, now);
         let fresh = Wanted { version: 0, since: now, waiting: 0 };
         self.wanted.entry(id.clone()).or_insert(fresh).waiting += 1;
@@ -246,6 +252,9 @@
     ///
     /// It is loaded only for requests counted by [`EngineLedger::wait`].
     pub fn want(&mut self, id: &AdapterId, version: u64) -> Readiness {
+        if self.unknown.contains_key(id) {
+            return Readiness::Unknown;
+        }
         if id.model != self.model || self.capacity() == 0 {
             return Readiness::Impossible;
         }
@@ -334,6 +343,13 @@
                 self.doubt = Some(Doubt { order, had_effect: true, ..doubt });
             }
             (OrderResult::Conflict, _) => self.observe_at = Some(now + CONFLICT_PAUSE),
+            (OrderResult::Unknown, _) => {
+                if let OrderKind::Load { adapter, .. } = order.kind {
+                    let id = AdapterId { model: order.model, adapter };
+                    self.unknown.insert(id, now + UNKNOWN_FOR);
+                }
+                self.resume_at = now + POLL_INTERVAL;
+            }
             (OrderResult::Refused, doubt) => {
                 self.doubt = doubt;
                 self.resume_at = now + REFUSED_PAUSE;
--- a/crates/fleet/src/ledger/choose.rs
+++ b/crates/fleet/src/ledger/choose.rs
@@ -68,7 +68,10 @@
             let waited = now.saturating_sub(wanted.since).as_secs_f64();
             f64::from(wanted.waiting) + waited * WAITING_PER_S
         };
-        let waiting = self.wanted.iter().filter(|(id, wanted)| is_missing(id, wanted));
+        let waiting = self
+            .wanted
+            .iter()
+            .filter(|(id, wanted)| is_missing(id, wanted) && !self.unknown.contains_key(*id));
         let (id, wanted) = waiting.max_by(|(a, x), (b, y)| {
             let at_hand = self.recent.contains(*a).cmp(&self.recent.contains(*b));
             at_hand.then(weight(x).total_cmp(&weight(y))).then(b.cmp(a))
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -43,6 +43,8 @@
     Conflict,
     /// The engine refused for another reason; nothing was done.
     Refused,
+    /// The engine knows no such model, adapter or version; nothing was done.
+    Unknown,
     /// No answer: the order may have been accepted.
     Lost,
 }
@@ -60,6 +62,8 @@
     Full,
     /// The engine can't hold it.
     Impossible,
+    /// The engine said just now that there is no such adapter.
+    Unknown,
 }
 
 /// Answers what to do next for an engine.
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -244,6 +244,21 @@
     assert_eq!(engine.now.sequence, 1);
 }
 
+#[test]
+fn an_adapter_that_the_engine_does_not_know_is_refused_at_once() {
+    let (mut ledger, mut engine) = started();
+    ledger.wait(&id("ghost"), ms(1_000));
+    assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Loading);
+    assert!(matches!(ledger.next(ms(1_000)), Step::Order(_)));
+    ledger.on_result(OrderResult::Unknown, ms(1_000));
+    assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Unknown);
+    ledger.leave(&id("ghost"));
+    // Others are loaded meanwhile, and it may exist later.
+    load(&mut ledger, &mut engine, &["a"], 1_100);
+    ledger.wait(&id("ghost"), ms(4_000));
+    assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Loading);
+}
+
 /// Plays requests against an engine whose answers get lost and whose orders come late.
 fn play(seed: u64, careless: bool) -> (bool, u32) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
