Wake calls that wait for a connection another call is opening

A load order sent while the 2 s listing opened its connection hung for good, without an error: the order's own timeout starts only once it has a connection. Ruled out: a load that failed or timed out (no such log line at debug level), the stand-in's crowding (one load under way), a lost lease (the owner itself refused).

Change: the limit is the largest there is. The tool for load had the same line.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -78,7 +78,8 @@
 }
 
 async fn run_load(args: &Args, addresses: &[SocketAddr], direct: bool) -> Result<Report> {
-    let connector = Connector::default().limit(0);
+    // Not 0: see `HttpBackend::new`.
+    let connector = Connector::default().limit(usize::MAX);
     let client = Client::builder()
         .connector::<()>(connector)
         .disable_timeout()
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -42,7 +42,9 @@
     ///
     /// Fails when the HTTP client can't be built.
     pub async fn new(address: SocketAddr) -> Result<Self> {
-        let connector = Connector::default().limit(0).lifetime(CONNECTION_LIFETIME);
+        // Not 0, "no limit": the pool then never wakes a call that waits for the connection that
+        // another call is opening.
+        let connector = Connector::default().limit(usize::MAX).lifetime(CONNECTION_LIFETIME);
         let client = Client::builder()
             .connector::<()>(connector)
             .response_timeout(Millis(CALL_TIMEOUT_MS))
