--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -11,7 +11,7 @@
 use guavaspread_model::{Host, HostKind, HostState, KeyHash, Name};
 use guavaspread_standins::{
     BookingStandIn, EngineSpec, EngineStandIn, PlatformSpec, PlatformStandIn, any_address,
-    free_address,
+    built_binary, free_address,
 };
 use serde_json::Value;
 use tempfile::TempDir;
@@ -165,7 +165,7 @@
             "gateway" => &entry_host.gateway_settings,
             _ => &entry_host.dispatcher_settings,
         };
-        let binary = binary(&format!("guavaspread-{process}"))?;
+        let binary = built_binary(&format!("guavaspread-{process}"))?;
         let child = Command::new(binary)
             .arg("--settings")
             .arg(settings)
@@ -456,13 +456,6 @@
     )
 }
 
-fn binary(name: &str) -> Result<PathBuf> {
-    let beside = std::env::current_exe()?;
-    let target = beside.ancestors().find(|dir| dir.join(name).is_file());
-    let target = target.ok_or_else(|| eyre!("{name} is not built; run `cargo build` first"))?;
-    Ok(target.join(name))
-}
-
 fn wait_until(until: Instant, mut done: impl FnMut() -> bool) -> Result<()> {
     while !done() {
         if Instant::now() >= until {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
 //! Each `spawn` serves on a thread of its own until the process ends.
 
 mod booking;
+mod built;
 mod engine;
 mod platform;
 mod ports;
@@ -24,6 +25,7 @@
 mod tokens;
 
 pub use booking::BookingStandIn;
+pub use built::built_binary;
 pub use engine::{EngineEvent, EngineEventKind, EngineSpec, EngineStandIn};
 pub use platform::{Faults, PlatformSpec, PlatformStandIn, PlatformStats};
 pub use ports::{any_address, free_address};
