Divide the slack of repeated sends among the hosts there are

Cause: what all hosts send again to a service is bounded together, as a share of its requests and a slack.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store: configurations, versions, servers and leases.
 
-use guavaspread_fleet::LeaseNext;
+use guavaspread_fleet::{LeaseNext, count_holders};
 
 use crate::border::{Feed, Listing, StoreError, Update, Written};
 use crate::prelude::*;
@@ -167,6 +167,7 @@
     let now = entry.clock.now();
     match table {
         Ok(table) => {
+            entry.on_holders(count_holders(table.rows.iter()));
             entry.leases.borrow_mut().on_read(table.rows, table.shown_ms, sent_at, now);
         }
         Err(e) => {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -94,6 +94,7 @@
         leases_changed: Notify::new(),
         orders: Orders::default(),
         retries: RefCell::default(),
+        holders: Cell::new(0),
         stopping: watch::Sender::new(false),
         closed: Cell::new(false),
         cfg: RefCell::new(cfg),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,6 +1,9 @@
 //! What the tasks of an entry host share; all run on one thread.
 
-use guavaspread_fleet::{AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange};
+use guavaspread_fleet::{
+    AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange, retry_budget,
+    slack_part,
+};
 use guavaspread_placement::RetryBudget;
 use tokio::sync::{Notify, watch};
 
@@ -40,15 +43,14 @@
     pub(crate) leases_changed: Notify,
     pub(crate) orders: Orders,
     pub(crate) retries: RefCell<HashMap<Arc<str>, RetryBudget>>,
+    /// Entry hosts that hold leases, by the last look at the store.
+    pub(crate) holders: Cell<usize>,
     /// Set once the process is asked to stop.
     pub(crate) stopping: watch::Sender<bool>,
     /// Set once the process takes no more requests.
     pub(crate) closed: Cell<bool>,
 }
 
-/// Entry hosts among which the retries beyond the share are divided.
-const RETRY_HOSTS: f64 = 16.0;
-
 impl Entry {
     /// Tells whether requests are taken and can be routed.
     pub(crate) fn is_ready(&self) -> bool {
@@ -130,6 +132,16 @@
         self.leases_changed.notify_waiters();
     }
 
+    /// Takes over how many entry hosts hold leases.
+    pub(crate) fn on_holders(&self, holders: usize) {
+        if self.holders.replace(holders) != holders {
+            let tokens_max = slack_part(self.cfg.borrow().retry_slack, holders);
+            for budget in self.retries.borrow_mut().values_mut() {
+                budget.set_max(tokens_max);
+            }
+        }
+    }
+
     /// Counts a request for a service.
     pub(crate) fn on_request(&self, service: &Arc<str>) {
         self.with_budget(service, RetryBudget::on_request);
@@ -150,8 +162,7 @@
         let mut budgets = self.retries.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             let cfg = self.cfg.borrow();
-            let slack = (cfg.retry_slack / RETRY_HOSTS).max(1.0);
-            RetryBudget::new(cfg.retry_share, slack)
+            retry_budget(cfg.retry_share, cfg.retry_slack, self.holders.get())
         });
         f(budget)
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! | own an engine's orders | [`LeaseBook`], [`LeaseNext`] |
 //! | choose who reads the store for a zone | [`watchers`], [`Hearsay`] |
 //! | remember which engine holds what | [`Grants`] |
+//! | share the budget of repeated sends | [`retry_budget`] |
 //! | tell a failure that another server may make good | [`Attempts`], [`Verdict`] |
 //!
 //! Times are durations since any fixed moment, the same for all calls to a value.
@@ -26,6 +27,7 @@
 mod placement;
 mod prelude;
 mod roster;
+mod shares;
 mod watch;
 
 pub use attempts::{Attempts, Outcome, Verdict};
@@ -36,4 +38,5 @@
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
+pub use shares::{count_holders, retry_budget, slack_part};
 pub use watch::{Hearsay, watchers};
--- a/crates/placement/src/retry.rs
+++ b/crates/placement/src/retry.rs
@@ -17,6 +17,12 @@
         RetryBudget { tokens: tokens_max, share, tokens_max }
     }
 
+    /// Changes how many retries it holds at most.
+    pub fn set_max(&mut self, tokens_max: f64) {
+        self.tokens_max = tokens_max;
+        self.tokens = self.tokens.min(tokens_max);
+    }
+
     /// Counts a first attempt.
     pub fn on_request(&mut self) {
         self.tokens = (self.tokens + self.share).min(self.tokens_max);
