Ask the store less often: one watcher a zone, longer pauses while it is away

Change: pauses between failed tries double up to 1.2 s (1 s for leases); a zone has one watcher that reads, and a second only while the first one's news are not fresh. A host that is itself followed always reads the store. Tests: an outage of 8 s is asked into 9 times at most and its end seen within the pause; who follows whom.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store: configurations, versions, servers and leases.
 
-use guavaspread_fleet::{LeaseNext, count_holders};
+use guavaspread_fleet::{Backoff, LeaseNext, count_holders};
 
 use crate::border::{Feed, Listing, StoreError, Update, Written};
 use crate::prelude::*;
@@ -10,13 +10,17 @@
 
 /// Between two looks whether the watchers' news are still fresh.
 const RELAYED_PAUSE: Duration = Duration::from_millis(150);
-/// Between two tries to reach the store.
+/// Between a first failed try to reach the store and the next.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Between two tries at most: its return shows well before a configuration has to be in
+/// force again, `contact_ms` of the sites.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_200);
 
 /// Follows one list until the process ends.
 pub(crate) async fn follow(entry: Rc<Entry>, feed: Feed) {
     let mut after: Option<u64> = None;
     let mut away = false;
+    let mut backoff = Backoff::new(RETRY_PAUSE, RETRY_PAUSE_MAX);
     loop {
         if after.is_some() && entry.relays.is_fresh(feed, entry.clock.now()) {
             // A watcher of the zone passes on what it reads.
@@ -38,6 +42,7 @@
                 if std::mem::take(&mut away) {
                     log::info!("the store is back for {feed:?}");
                 }
+                backoff.on_success();
                 let whole = after.is_none();
                 after = Some(listing.revision.max(after.unwrap_or(0)));
                 entry.relays.on_read(&entry, feed, &listing, whole);
@@ -57,7 +62,7 @@
                 if feed == Feed::Servers {
                     entry.roster.borrow_mut().on_away(now);
                 }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(backoff.on_failure()).await;
             }
         }
     }
--- a/crates/entry/src/relays.rs
+++ b/crates/entry/src/relays.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use futures::{SinkExt, StreamExt};
-use guavaspread_fleet::{Hearsay, watchers};
+use guavaspread_fleet::{Hearsay, followed, watchers};
 use tokio::sync::{broadcast, mpsc};
 use tokio::task::JoinHandle;
 use tokio_util::codec::Framed;
@@ -27,6 +27,14 @@
 /// How old a watcher's news may be: its question's wait, and the way of the answer.
 const CONTROL_FRESH_FOR: Duration = Duration::from_millis(1_200);
 const SERVERS_FRESH_FOR: Duration = Duration::from_millis(1_700);
+/// Returns how old a watcher's news of a list may be.
+fn fresh_for(feed: Feed) -> Duration {
+    match feed {
+        Feed::Control => CONTROL_FRESH_FOR,
+        Feed::Servers => SERVERS_FRESH_FOR,
+    }
+}
+
 /// News that a follower may be behind; one that is further behind gets the whole lists.
 const NEWS_MAX: usize = 64;
 
@@ -55,12 +63,17 @@
 
 impl Relays {
     /// Tells whether a watcher's news of a list can stand for a look at the store.
+    ///
+    /// Those who follow this host rely on its own looks.
     pub(crate) fn is_fresh(&self, feed: Feed, now: Duration) -> bool {
-        let limit = match feed {
-            Feed::Control => CONTROL_FRESH_FOR,
-            Feed::Servers => SERVERS_FRESH_FOR,
-        };
-        self.heard(feed).hearsay.borrow().is_fresh(limit, now)
+        !self.has_followers() && self.heard(feed).hearsay.borrow().is_fresh(fresh_for(feed), now)
+    }
+
+    /// Tells whether all that one watcher passes on is fresh.
+    fn is_fresh_from(&self, watcher: SocketAddr, now: Duration) -> bool {
+        FEEDS.into_iter().all(|feed| {
+            self.heard(feed).hearsay.borrow().is_fresh_from(watcher, fresh_for(feed), now)
+        })
     }
 
     /// Returns the revision up to which a list was heard.
@@ -178,24 +191,24 @@
 
 /// Follows the watchers of the zone, unless this host is one.
 pub(crate) async fn subscribe(entry: Rc<Entry>) {
-    let mut followed: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
+    let mut following: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     loop {
         tokio::time::sleep(CHOICE_INTERVAL).await;
         let zone = entry.cfg.borrow().zone.clone();
-        let mut chosen = watchers(&zone, entry.leases.borrow().rows());
-        if chosen.iter().any(|(host, _)| *host == entry.holder) {
-            chosen.clear();
-        }
-        followed.retain(|address, task| {
-            let kept = !task.is_finished() && chosen.iter().any(|(_, a)| a == address);
+        let ranked = watchers(&zone, entry.leases.borrow().rows());
+        let now = entry.clock.now();
+        let is_fresh = |watcher| entry.relays.is_fresh_from(watcher, now);
+        let chosen = followed(ranked, &entry.holder, is_fresh);
+        following.retain(|address, task| {
+            let kept = !task.is_finished() && chosen.contains(address);
             if !kept {
                 task.abort();
                 entry.relays.on_lost(*address);
             }
             kept
         });
-        for (_, address) in chosen {
-            followed.entry(address).or_insert_with(|| {
+        for address in chosen {
+            following.entry(address).or_insert_with(|| {
                 tokio::task::spawn_local(follow_watcher(entry.clone(), address))
             });
         }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -12,6 +12,7 @@
 
 use guavaspread_model::rendezvous_score;
 
+use crate::backoff::Backoff;
 use crate::prelude::*;
 
 /// Sets how long leases last.
@@ -84,10 +85,13 @@
     free_since: BTreeMap<Arc<str>, Duration>,
     stale: bool,
     read_at: Duration,
+    reads: Backoff,
 }
 
 /// Between two reads of the table while an engine has no known holder.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Before the table is read again that is doubted, and after a first failure.
+const REREAD_PAUSE: Duration = Duration::from_millis(250);
 /// Spreads claims of an engine without a holder over its zone's entry hosts.
 const CLAIM_SPREAD: Duration = Duration::from_millis(400);
 /// Lets hosts that hold fewer engines claim first.
@@ -112,6 +116,7 @@
             free_since: BTreeMap::new(),
             stale: true,
             read_at: Duration::ZERO,
+            reads: Backoff::new(REREAD_PAUSE, READ_INTERVAL),
         }
     }
 
@@ -134,6 +139,7 @@
         self.rows = rows.into_iter().map(|row| (row.engine.clone(), row)).collect();
         self.stale = false;
         self.read_at = now;
+        self.reads.on_success();
         let rows = &self.rows;
         let host = &self.host;
         self.own.retain(|engine, _| rows.get(engine).is_some_and(|row| row.holder == *host));
@@ -175,6 +181,7 @@
     /// Reports that the table could not be read; it is read again after a while.
     pub fn on_read_failed(&mut self, now: Duration) {
         self.read_at = now;
+        self.reads.on_failure();
     }
 
     /// Reports that another host was seen to hold an engine, as from its answer.
@@ -208,7 +215,7 @@
     /// Answers what to do next.
     pub fn next(&mut self, now: Duration) -> LeaseNext {
         if self.stale || self.clock.is_none() {
-            let at = self.read_at + READ_INTERVAL / 4;
+            let at = self.read_at + self.reads.pause();
             let first = self.read_at == Duration::ZERO;
             return if first || at <= now { LeaseNext::Read } else { LeaseNext::Wait(at) };
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! Times are durations since any fixed moment, the same for all calls to a value.
 
 mod attempts;
+mod backoff;
 mod catalog;
 mod grants;
 mod lease;
@@ -31,6 +32,7 @@
 mod watch;
 
 pub use attempts::{Attempts, Outcome, Verdict};
+pub use backoff::Backoff;
 pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
 pub use grants::{Grant, Grants};
 pub use lease::{LeaseBook, LeaseNext, LeaseRow, LeaseTimes};
@@ -39,4 +41,4 @@
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
 pub use shares::{count_holders, retry_budget, slack_part};
-pub use watch::{Hearsay, watchers};
+pub use watch::{Hearsay, followed, watchers};
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -1,9 +1,10 @@
 //! Who reads the store for the entry hosts of a zone.
 //!
-//! Each call to the store costs the same whoever makes it, so in a large zone two
-//! watchers follow it and pass on what they read. Every host still reads by itself when
-//! no watcher's news are fresh: a watcher that is cut off, slow or turned away by the
-//! store costs its followers a moment, never their configuration.
+//! Each call to the store costs the same whoever makes it, so in a large zone one watcher
+//! follows it and passes on what it reads; a second one does while the first one's news
+//! are not fresh. Every host still reads by itself when no watcher's news are fresh: a
+//! watcher that is cut off, slow or turned away by the store costs its followers a moment,
+//! never their configuration.
 
 use std::net::SocketAddr;
 
@@ -40,6 +41,26 @@
     ranked.into_iter().take(WATCHERS).map(|(_, host, address)| (host.clone(), address)).collect()
 }
 
+/// Chooses of the watchers whom a host follows: the first, and the next one only while the
+/// first one's news are not fresh. The first one itself follows nobody.
+pub fn followed(
+    watchers: Vec<(Arc<str>, SocketAddr)>,
+    host: &str,
+    is_fresh: impl Fn(SocketAddr) -> bool,
+) -> Vec<SocketAddr> {
+    let mut chosen = Vec::new();
+    for (watcher, address) in watchers {
+        if &*watcher == host {
+            break;
+        }
+        chosen.push(address);
+        if is_fresh(address) {
+            break;
+        }
+    }
+    chosen
+}
+
 /// Tracks how fresh the news of the watchers are, for one list.
 #[derive(Clone, Debug, Default)]
 pub struct Hearsay {
@@ -63,4 +84,9 @@
     pub fn is_fresh(&self, limit: Duration, now: Duration) -> bool {
         self.heard.values().any(|heard| now < *heard + limit)
     }
+
+    /// Tells whether this watcher's knowledge is younger than `limit`.
+    pub fn is_fresh_from(&self, watcher: SocketAddr, limit: Duration, now: Duration) -> bool {
+        self.heard.get(&watcher).is_some_and(|heard| now < *heard + limit)
+    }
 }
--- a/crates/fleet/tests/watch.rs
+++ b/crates/fleet/tests/watch.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use guavaspread_fleet::{Hearsay, LeaseRow, watchers};
+use guavaspread_fleet::{Backoff, Hearsay, LeaseRow, followed, watchers};
 
 const LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -61,3 +61,39 @@
     hearsay.on_lost(b);
     assert!(!hearsay.is_fresh(LIMIT, ms(6_500)));
 }
+
+#[test]
+fn the_second_watcher_is_followed_only_while_the_first_is_not_fresh() {
+    let rows: Vec<LeaseRow> = (0..20).map(|n| row(n, n, "north")).collect();
+    let ranked = watchers("north", rows.iter());
+    let [(first, first_at), (second, second_at)] = &ranked[..] else { unreachable!() };
+    let choose = |host: &str, fresh: &[SocketAddr]| {
+        followed(ranked.clone(), host, |watcher| fresh.contains(&watcher))
+    };
+    assert_eq!(choose("host-x", &[*first_at, *second_at]), [*first_at]);
+    assert_eq!(choose("host-x", &[*second_at]), [*first_at, *second_at]);
+    assert_eq!(choose("host-x", &[]), [*first_at, *second_at]);
+    // The second one follows the first; the first reads the store.
+    assert_eq!(choose(second, &[]), [*first_at]);
+    assert!(choose(first, &[]).is_empty());
+}
+
+/// The pattern of a store that is away for eight seconds, on a grown site's day.
+#[test]
+fn a_store_that_is_away_is_asked_a_few_times_and_found_soon_after_its_return() {
+    const AWAY: Duration = Duration::from_secs(8);
+    const LONGEST: Duration = Duration::from_millis(1_200);
+    let mut backoff = Backoff::new(Duration::from_millis(300), LONGEST);
+    let (mut at, mut asked) = (Duration::ZERO, 0);
+    while at < AWAY {
+        at += backoff.on_failure();
+        asked += 1;
+    }
+    assert!(asked <= 9, "asked {asked} times");
+    assert!(at <= AWAY + LONGEST);
+    backoff.on_success();
+    assert_eq!(backoff.on_failure(), Duration::from_millis(300));
+    for _ in 0..100 {
+        assert!(backoff.on_failure() <= LONGEST);
+    }
+}
