Do not use a server again by news that lag behind its end

Cause: the roster forgot the revision at which a row went. A host hears of the list by its own reads and from two watchers; news of one source that arrive behind newer ones of another then brought a server back that was known to be gone, until the next whole list. A removal while lapsed rows are forgiven left the row's revision as it was, with the same effect.

Change: rows that went are remembered with their revisions until the next whole list (4,096 at most, the oldest forgotten first), and a row of before the last whole list that is not in it is ignored.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -112,11 +112,19 @@
     entries: BTreeMap<Arc<str>, Entry>,
     /// The revision of the newest state taken over.
     revision: u64,
+    /// The revision of the last whole list: a row of before that is not in it is gone.
+    listed: u64,
+    /// The revisions at which rows went since the last whole list. News of one source may
+    /// arrive behind newer ones of another.
+    gone: BTreeMap<Arc<str>, u64>,
     away_since: Option<Duration>,
     /// Until when servers missing from the list are kept.
     forgiving_until: Duration,
 }
 
+/// Rows that are remembered as gone: far more than a source may lag behind another.
+const GONE_MAX: usize = 4_096;
+
 impl Roster {
     /// Returns the revision of the newest state taken over.
     pub fn revision(&self) -> u64 {
@@ -170,13 +178,24 @@
         for (server, row_revision) in servers {
             changes.extend(self.upsert(server, row_revision));
         }
+        self.listed = revision;
+        self.gone.clear();
         changes
     }
 
+    /// Tells whether a row that is not here went after it had this revision.
+    fn has_gone(&self, id: &str, revision: u64) -> bool {
+        revision <= self.listed || self.gone.get(id).is_some_and(|gone| revision <= *gone)
+    }
+
     /// Takes over one row.
     pub fn upsert(&mut self, server: Server, revision: u64) -> Option<RosterChange> {
         self.revision = self.revision.max(revision);
+        if !self.entries.contains_key(&server.id) && self.has_gone(&server.id, revision) {
+            return None;
+        }
         let Some(entry) = self.entries.get_mut(&server.id) else {
+            self.gone.remove(&server.id);
             let server = Arc::new(server);
             let entry = Entry { server: server.clone(), revision, lapses_at: None };
             self.entries.insert(server.id.clone(), entry);
@@ -208,13 +227,25 @@
         if revision < entry.revision {
             return None;
         }
+        entry.revision = revision;
         if now < self.forgiving_until && entry.server.is_ready() {
             entry.lapses_at.get_or_insert(self.forgiving_until);
             return None;
         }
+        self.remember_gone(id, revision);
         self.entries.remove(id).map(|entry| RosterChange::Gone(entry.server))
     }
 
+    fn remember_gone(&mut self, id: &str, revision: u64) {
+        if self.gone.len() >= GONE_MAX {
+            let oldest = self.gone.iter().min_by_key(|(_, revision)| **revision);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.gone.remove(&oldest);
+            }
+        }
+        self.gone.insert(id.into(), revision);
+    }
+
     /// Drops a server that is known to be gone, as when its address answers for another one.
     pub fn forget(&mut self, id: &str) -> Option<RosterChange> {
         self.entries.remove(id).map(|entry| RosterChange::Gone(entry.server))
