--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -95,18 +95,28 @@
 /// Tells why the store did not answer as asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
-    /// It can't be reached, or refused; the call may have had its effect.
-    Away(String),
+    /// There is no way to it, or it is silent; the call may have had its effect.
+    Unreachable(String),
+    /// It refuses or breaks off; the call may have had its effect.
+    Refused(String),
     /// The changes asked for are no longer kept.
     HistoryLost,
     /// Its answer can't be read.
     BadAnswer(String),
 }
 
+impl StoreError {
+    /// Tells whether the store had work with the call.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, StoreError::Refused(_) | StoreError::BadAnswer(_))
+    }
+}
+
 impl std::fmt::Display for StoreError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            StoreError::Away(detail) => write!(f, "the store can't be used: {detail}"),
+            StoreError::Unreachable(detail) => write!(f, "the store can't be reached: {detail}"),
+            StoreError::Refused(detail) => write!(f, "the store can't be used: {detail}"),
             StoreError::HistoryLost => f.write_str("the store no longer keeps these changes"),
             StoreError::BadAnswer(detail) => write!(f, "the store's answer is bad: {detail}"),
         }
--- a/crates/entry/src/channel.rs
+++ b/crates/entry/src/channel.rs
@@ -38,8 +38,10 @@
 pub enum SendError {
     /// No byte of it left.
     NotSent(String),
-    /// It may have been read.
+    /// It may have been read, and the connection ended.
     Unknown(String),
+    /// It may have been read, and nothing came back in time.
+    Silent(Duration),
 }
 
 impl std::fmt::Display for SendError {
@@ -47,6 +49,7 @@
         match self {
             SendError::NotSent(detail) => write!(f, "not sent: {detail}"),
             SendError::Unknown(detail) => write!(f, "no answer: {detail}"),
+            SendError::Silent(limit) => write!(f, "no answer within {} ms", limit.as_millis()),
         }
     }
 }
@@ -190,7 +193,7 @@
             Ok((answered.head, body.to_bytes()))
         };
         let timed = tokio::time::timeout(limit, call).await;
-        timed.unwrap_or_else(|_| Err(SendError::Unknown("timed out".to_owned())))
+        timed.unwrap_or(Err(SendError::Silent(limit)))
     }
 
     /// Closes the idle connections to a server.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -12,8 +12,9 @@
 const RELAYED_PAUSE: Duration = Duration::from_millis(150);
 /// Between a first failed try to reach the store and the next.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Between two tries at most: its return shows well before a configuration has to be in
-/// force again, `contact_ms` of the sites.
+/// Between two tries at most of a store that refuses: its return shows well before a
+/// configuration has to be in force again, `contact_ms` of the sites. One that can't be
+/// reached has no work with the tries, and is tried again after the first pause.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_200);
 
 /// Follows one list until the process ends.
@@ -53,6 +54,7 @@
             }
             Err(StoreError::HistoryLost) => {
                 log::warn!("the store forgot changes of {feed:?} behind {after:?}; reads all");
+                backoff.on_success();
                 after = None;
             }
             Err(e) => {
@@ -62,7 +64,8 @@
                 if feed == Feed::Servers {
                     entry.roster.borrow_mut().on_away(now);
                 }
-                tokio::time::sleep(backoff.on_failure()).await;
+                let pause = if e.is_refusal() { backoff.on_failure() } else { RETRY_PAUSE };
+                tokio::time::sleep(pause).await;
             }
         }
     }
@@ -177,7 +180,7 @@
         }
         Err(e) => {
             log::warn!("leases were not read: {e}");
-            entry.leases.borrow_mut().on_read_failed(now);
+            entry.leases.borrow_mut().on_read_failed(now, e.is_refusal());
         }
     }
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -178,10 +178,15 @@
         self.stale = true;
     }
 
-    /// Reports that the table could not be read; it is read again after a while.
-    pub fn on_read_failed(&mut self, now: Duration) {
+    /// Reports that the table could not be read; it is read again after a while, which
+    /// grows while the store refuses.
+    pub fn on_read_failed(&mut self, now: Duration, refused: bool) {
         self.read_at = now;
-        self.reads.on_failure();
+        if refused {
+            self.reads.on_failure();
+        } else {
+            self.reads.on_success();
+        }
     }
 
     /// Reports that another host was seen to hold an engine, as from its answer.
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -95,7 +95,7 @@
             // An answer may be up to 300 ms old when it is read.
             let sent_at = now.saturating_sub(Duration::from_millis(rng.random_range(0..300)));
             match book.next(now) {
-                LeaseNext::Read if is_cut => book.on_read_failed(now),
+                LeaseNext::Read if is_cut => book.on_read_failed(now, rng.random()),
                 LeaseNext::Read => {
                     let rows = table.rows.values().cloned().collect();
                     book.on_read(rows, shown_ms, sent_at, now);
