Leave an owner that falls silent while it loads

Ruled out: lost orders (asked again within 60 ms each), the wait for a first answer (200 ms).

Change: an owner says every 150 ms that it still waits, and one that is silent for 400 ms in between is left for another engine, like one that never answered. Test: a stand-in owner that says it loads and stands still; every request sent to it ended with 1302 before, each is answered by the other engine now.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -11,6 +11,10 @@
 /// Between two looks at an engine on which nothing happens.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Between two signs of life to one who waits for a load: a load takes about 300 ms, and a
+/// host that stands still is to be told from a load that takes longer.
+const WAIT_BEAT: Duration = Duration::from_millis(150);
+
 struct Owned {
     ledger: RefCell<EngineLedger>,
     /// Wakes the engine's task: something is wanted.
@@ -72,12 +76,12 @@
     }
 
     /// Answers whether an adapter may be used, once it is loaded; it stays while the use
-    /// returned is kept. Calls `on_wait` when the answer has to wait for a load.
+    /// returned is kept. Calls `on_wait` every now and then while the answer waits for a load.
     pub(crate) async fn answer(
         &self,
         entry: &Rc<Entry>,
         ask: &Ask,
-        on_wait: impl FnOnce(),
+        on_wait: impl Fn(),
     ) -> (Answer, Option<Use>) {
         let owned = self.engines.borrow().get(&*ask.engine).map(|running| running.owned.clone());
         let Some(owned) = owned else {
@@ -89,7 +93,7 @@
             owned.ledger.borrow_mut().on_missing(entry.clock.now());
         }
         let _waiter = Waiter::start(&owned, &id, entry.clock.now());
-        let mut on_wait = Some(on_wait);
+        let mut told_at: Option<Duration> = None;
         loop {
             let changed = owned.changed.notified();
             tokio::pin!(changed);
@@ -111,10 +115,11 @@
                 Readiness::Loading if now >= until => return (Answer::NotYet, None),
                 Readiness::Loading => owned.wanted.notify_one(),
             }
-            if let Some(on_wait) = on_wait.take() {
+            if told_at.is_none_or(|at| now >= at + WAIT_BEAT) {
+                told_at = Some(now);
                 on_wait();
             }
-            let left = until.saturating_sub(now).min(IDLE_INTERVAL);
+            let left = until.saturating_sub(now).min(WAIT_BEAT);
             // Without a change the ledger is asked again all the same.
             let _ = tokio::time::timeout(left, changed).await;
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -19,8 +19,12 @@
 const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Questions waiting to be written to one peer; beyond that the peer is stuck.
 const QUEUE_MAX: usize = 256;
-/// How long a peer may take to say anything; a load that takes longer is announced.
+/// How long a peer may take to say anything; one that waits for a load says so.
 const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a peer that waits for a load may be silent: two and a half of its signs of life.
+const WAIT_SILENCE_MAX: Duration = Duration::from_millis(400);
+/// Answers to a question that may wait to be read: a load's signs of life, and the last one.
+const ANSWERS_MAX: usize = 32;
 /// How long the last answer may take beyond the wait that the question allows.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// How long a peer that said nothing is not asked again.
@@ -68,14 +72,16 @@
             return None;
         }
         let limit = Duration::from_millis(ask.wait_ms.into()) + ANSWER_MARGIN;
-        // One answer that it loads, and one that ends the question.
-        let (asker, mut answers) = mpsc::channel(2);
+        let until = clock.now() + limit;
+        let (asker, mut answers) = mpsc::channel(ANSWERS_MAX);
         let link = self.link(address);
         link.try_send(Outgoing::Ask(ask, asker)).ok()?;
         let mut timeout = FIRST_ANSWER_TIMEOUT;
         loop {
             match tokio::time::timeout(timeout, answers.recv()).await {
-                Ok(Some((Answer::Loading, _))) => timeout = limit,
+                Ok(Some((Answer::Loading, _))) => {
+                    timeout = until.saturating_sub(clock.now()).min(WAIT_SILENCE_MAX);
+                }
                 Ok(Some((answer, number))) => {
                     let granted = matches!(answer, Answer::Granted { .. });
                     return Some((answer, granted.then(|| Granted { link, number })));
