Refuse at once what a slow engine's queue would keep too long

Change: the ledger measures how long an order takes until its answer is known. An adapter behind two or more others whose orders would take over 1.2 s is refused at once, so that the request asks another engine or is told when to come back. Tests: a slow engine's sixth adapter is refused, those before it wait on, and there is room again when they have gone; forty adapters queue at an engine that takes its orders. The search with late orders runs on eight threads.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -53,6 +53,17 @@
 const WAITING_SHARE: u32 = 6;
 /// How often an order whose answer was lost is repeated before the engine is observed.
 const REPEATS_MAX: u32 = 4;
+/// How long an engine takes for an order until one was measured.
+const ORDER_TIME: Duration = Duration::from_millis(5);
+/// Weight of the last order in the smoothed time, as one in so many.
+const ORDER_TIME_SHARE: u32 = 4;
+/// Orders that an adapter takes: one makes room, one loads, one asks whether it is done.
+const ORDERS_PER_LOAD: u32 = 3;
+/// The longest that orders may stand in the way of an adapter; callers' patience is a few
+/// seconds, and another engine or a later moment serves them better.
+const QUEUE_TIME_MAX: Duration = Duration::from_millis(1_200);
+/// Adapters that may always wait, so that a slow engine still gets orders.
+const QUEUE_MIN: u32 = 2;
 /// What a second of waiting counts against further requests for an adapter.
 const WAITING_PER_S: f64 = 4.0;
 /// Adapters that an engine keeps at hand after they were unloaded.
@@ -130,6 +141,10 @@
     observe_at: Option<Duration>,
     resume_at: Duration,
     load_time: Duration,
+    /// When the order under way or in doubt was first given.
+    given_at: Option<Duration>,
+    /// How long orders take until the engine's answer is known.
+    order_time: Duration,
 }
 
 impl EngineLedger {
@@ -156,6 +171,8 @@
             observe_at: Some(Duration::ZERO),
             resume_at: Duration::ZERO,
             load_time: LOAD_TIME,
+            given_at: None,
+            order_time: ORDER_TIME,
         }
     }
 
@@ -275,12 +292,27 @@
                 return Readiness::InUse;
             }
         }
+        if self.is_far_back(id) {
+            return Readiness::Impossible;
+        }
         if let Some(wanted) = self.wanted.get_mut(id) {
             wanted.version = wanted.version.max(version);
         }
         Readiness::Loading
     }
 
+    /// Tells whether the orders for adapters that were wanted before take too long.
+    fn is_far_back(&self, id: &AdapterId) -> bool {
+        let Some(mine) = self.wanted.get(id).filter(|_| !self.places.contains_key(id)) else {
+            return false;
+        };
+        let before = self.wanted.iter().filter(|(other, wanted)| {
+            *other != id && wanted.since <= mine.since && !self.places.contains_key(*other)
+        });
+        let before = before.count() as u32;
+        before >= QUEUE_MIN && self.order_time * ORDERS_PER_LOAD * before > QUEUE_TIME_MAX
+    }
+
     /// Takes over that a newer version of an adapter exists.
     ///
     /// One that is held is replaced when it is next asked for and no longer in use.
@@ -314,6 +346,7 @@
         }
         match self.next_kind(now) {
             Ok(kind) => {
+                self.given_at = Some(now);
                 let order = Order { model: self.model.clone(), kind, expected };
                 self.under_way = Some(order.clone());
                 Step::Order(order)
@@ -328,6 +361,12 @@
             return;
         };
         let doubt = self.doubt.take();
+        if result != OrderResult::Lost
+            && let Some(given_at) = self.given_at.take()
+        {
+            let took = now.saturating_sub(given_at);
+            self.order_time = (self.order_time * (ORDER_TIME_SHARE - 1) + took) / ORDER_TIME_SHARE;
+        }
         match (result, doubt) {
             (OrderResult::Accepted, doubt) => {
                 let counted = !doubt.is_some_and(|doubt| doubt.had_effect);
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -60,7 +60,7 @@
     InUse,
     /// The engine runs as many requests as it can, and a few wait.
     Full,
-    /// The engine can't hold it.
+    /// The engine can't hold it, or its orders take too long for those that wait already.
     Impossible,
     /// The engine said just now that there is no such adapter.
     Unknown,
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -259,6 +259,55 @@
     assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Loading);
 }
 
+/// The pattern of an engine whose orders get lost: each takes a second or more, and
+/// adapters queue up behind them.
+#[test]
+fn an_adapter_far_behind_in_a_slow_queue_is_refused_at_once() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let (mut ledger, mut engine) = started();
+    let mut now = ms(1_000);
+    for name in &names[..5] {
+        ledger.wait(&id(name), now);
+        now += ms(1);
+        assert_eq!(ledger.want(&id(name), 0), Readiness::Loading);
+    }
+    // Orders are answered after three tries, 400 ms each.
+    for _ in 0..4 {
+        for result in [OrderResult::Lost, OrderResult::Lost] {
+            assert!(matches!(ledger.next(now), Step::Order(_)));
+            now += ms(400);
+            ledger.on_result(result, now);
+        }
+        let Step::Order(order) = ledger.next(now) else { unreachable!() };
+        engine.advance(now);
+        let result = engine.order(&order, now);
+        ledger.on_result(result, now);
+    }
+    ledger.wait(&id("f"), now);
+    assert_eq!(ledger.want(&id("f"), 0), Readiness::Impossible);
+    ledger.leave(&id("f"));
+    // Those that came first wait on, and with them gone there is room again.
+    let still = names[..5].iter().map(|name| ledger.want(&id(name), 0));
+    assert!(still.filter(|readiness| *readiness == Readiness::Loading).count() >= 2);
+    for name in &names[..5] {
+        ledger.leave(&id(name));
+    }
+    ledger.wait(&id("f"), now);
+    assert_eq!(ledger.want(&id("f"), 0), Readiness::Loading);
+}
+
+#[test]
+fn adapters_queue_at_an_engine_that_takes_its_orders() {
+    let (mut ledger, mut engine) = started();
+    let now = ms(1_000);
+    for number in 0..40 {
+        let name = format!("x{number}");
+        ledger.wait(&id(&name), now);
+        assert_eq!(ledger.want(&id(&name), 0), Readiness::Loading, "{name}");
+        settle(&mut ledger, &mut engine, now);
+    }
+}
+
 /// Plays requests against an engine whose answers get lost and whose orders come late, a
 /// share `late_share` of them beside a few others.
 fn play(seed: u64, careless: bool, late_share: f64) -> (bool, u32) {
@@ -353,6 +402,15 @@
 /// are on their way with the same count.
 #[test]
 fn places_are_never_exceeded_while_most_orders_come_late() {
-    let broken: Vec<u64> = (0..10_000).filter(|seed| play(*seed, false, 0.7).0).collect();
+    const WORKERS: u64 = 8;
+    let search = |first: u64| -> Vec<u64> {
+        let seeds = (first..10_000).step_by(WORKERS as usize);
+        seeds.filter(|seed| play(*seed, false, 0.7).0).collect()
+    };
+    let broken: Vec<u64> = std::thread::scope(|scope| {
+        let workers: Vec<_> =
+            (0..WORKERS).map(|first| scope.spawn(move || search(first))).collect();
+        workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect()
+    });
     assert!(broken.is_empty(), "{} seeds, as {:?}", broken.len(), broken.first());
 }
