--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -5,21 +5,7 @@
 use guavaspread_entry::EntrySettings;
 use test_case::test_case;
 
-const GOOD: &str = r#"host = "front-1"
-ip = "10.1.0.38"
-zone = "north"
-listen = "10.1.0.38:8149"
-ready = "10.1.0.38:8141"
-ports = [7380, 7395]
-metrics = "10.1.0.38:9464"
-store = "10.200.1.7:8142"
-grace-s = 8
-lease-ms = 3000
-drain-ms = 2000
-apply-ms = 2000
-retry-share = 0.2
-retry-slack = 58
-"#;
+const GOOD: &str = include_str!("good.toml");
 
 #[test]
 fn good_settings_are_taken() {
--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,17 @@
+//! Samples that several tests take.
+
+use guavaspread_fleet::{Server, ServerState};
+
+/// A ready server of the first start of an id.
+pub fn server(id: &str) -> Server {
+    Server {
+        id: id.into(),
+        service: "drafter".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "north".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        born: 1,
+        models: Vec::new(),
+    }
+}
--- a/crates/fleet/tests/follow.rs
+++ b/crates/fleet/tests/follow.rs
@@ -5,9 +5,12 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use common::server;
 use guavaspread_fleet::{Roster, Server, ServerState};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,18 +28,9 @@
     revision: u64,
 }
 
-fn server(id: &str, is_ready: bool, born: u64) -> Server {
+fn start(id: &str, is_ready: bool, born: u64) -> Server {
     let draining = ServerState::Draining { remaining: None };
-    Server {
-        id: id.into(),
-        service: "drafter".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        zone: "north".into(),
-        slots: 4,
-        state: if is_ready { ServerState::Ready } else { draining },
-        born,
-        models: Vec::new(),
-    }
+    Server { state: if is_ready { ServerState::Ready } else { draining }, born, ..server(id) }
 }
 
 /// Draws what servers write: they come, drain and go, and come again as new ones.
@@ -46,9 +40,9 @@
     for number in 0..EVENTS {
         let id = IDS[rng.random_range(0..IDS.len())];
         let next = match now.get(id) {
-            None => Some(server(id, true, number)),
+            None => Some(start(id, true, number)),
             Some(old) if old.is_ready() && rng.random_bool(0.6) => {
-                Some(server(id, rng.random_bool(0.5), old.born))
+                Some(start(id, rng.random_bool(0.5), old.born))
             }
             Some(_) => None,
         };
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -2,23 +2,13 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::time::Duration;
 
+use common::server;
 use guavaspread_fleet::{Roster, RosterChange, Server, ServerState};
 
-fn server(id: &str) -> Server {
-    Server {
-        id: id.into(),
-        service: "drafter".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        zone: "north".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        born: 1,
-        models: Vec::new(),
-    }
-}
-
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
