Leave engines that break requests off, by the count of the host that owns their orders

Each of 60 hosts sends an engine 0.2 requests a second, so none learned of it but by its own failures, and a rare adapter has one engine. Change: the owner of an engine's orders is asked before each request; it is now told how each ended, and after three in a row that broke it turns the others away (they go to the adapter's next engine), but for one every 250 ms that tries the engine.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 
 use guavaspread_fleet::{
-    AdapterId, Attempts, Outcome, Pick, PlacementKey, RequestClass, Route, Server, Verdict,
+    AdapterId, Attempts, Ended, Outcome, Pick, PlacementKey, RequestClass, Route, Server, Verdict,
 };
 use guavaspread_model::Refusal;
 use http::{Request, Response, header, request};
@@ -67,6 +67,8 @@
 enum Attempt {
     Answered(Box<Answered>, InFlight),
     Failed(Outcome, Option<Box<Answered>>),
+    /// The connection was refused, or ended without an answer.
+    Broken(Outcome),
     /// The same server may be asked again, as after it had dropped an adapter.
     Again,
 }
@@ -88,7 +90,7 @@
                 record.add(Step::NoServer);
                 return self.give_up(failure, &no_server(&attempts), record);
             };
-            let (version, kept) = match self.access((key, &server), missed, &mut record).await {
+            let (version, mut kept) = match self.access((key, &server), missed, &mut record).await {
                 Access::Granted(version, kept) => (version, kept),
                 Access::Full if full + 1 >= FULL_MAX => {
                     return self.give_up(failure, &all_full(&attempts), record);
@@ -121,6 +123,11 @@
                     tried.push(server.id.clone());
                     (outcome, answered)
                 }
+                Attempt::Broken(outcome) => {
+                    kept.on_ended(Ended::Broken);
+                    tried.push(server.id.clone());
+                    (outcome, None)
+                }
             };
             missed = outcome == Outcome::Refused;
             failure = answered.or(failure);
@@ -219,7 +226,7 @@
                 if unreached {
                     placement.on_unreachable(key, now);
                 }
-                return Attempt::Failed(outcome, None);
+                return Attempt::Broken(outcome);
             }
             Err(_) => {
                 record.failed(Outcome::Unknown, "no answer in time".to_owned());
