Give each host one lease, and engines claims that stay

Each engine had a lease row that was renewed; every host that saw one lapse, or whose write met another's, read the whole table (750 KB in seven calls), and at a start all raced for all engines. Writes of more than 100 rows were refused. Change: a host renews one row; a claim row for each engine changes only when the engine changes hands. Who claims an engine of a lapsed host ends that host's lease in the same transaction, so that a late renewal fails. The table is read by what changed behind the last read. Hosts make themselves known first and claim by a common order of hosts for each engine, up to their share of the zone's engines at once; at most 24 claims go in a write. Ruled out: leases for each engine with reads of changes only: renewals alone change every row every five seconds. Tests: 10,000 interleavings with writes up to 20 s late and lost history (shown to need the rest between holders and the end of the old lease), cold starts of 3, 15 and 75 hosts that share the engines out with few refused writes, a late renewal after a takeover.

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use guavaspread_fleet::{
-    AdapterId, Catalog, HeldModel, LeaseRow, LoadReport, Order, OrderResult, Server,
+    AdapterId, Catalog, HeldModel, LeaseTable, LeaseWrite, LoadReport, Order, OrderResult, Server,
 };
 use http::{HeaderMap, StatusCode, request};
 use serde::{Deserialize, Serialize};
@@ -69,15 +69,6 @@
     pub revision: u64,
 }
 
-/// Holds the lease table, as of a moment of the store's clock.
-#[derive(Clone, Debug)]
-pub struct LeaseTable {
-    /// The rows.
-    pub rows: Vec<LeaseRow>,
-    /// The store's clock, in milliseconds.
-    pub shown_ms: u64,
-}
-
 /// Tells how a write of lease rows ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Written {
@@ -142,19 +133,19 @@
     /// Fails when the store does not answer as asked, or forgot the changes.
     async fn changes(&self, feed: Feed, after: u64, wait: Duration) -> Result<Listing, StoreError>;
 
-    /// Reads the lease table.
+    /// Reads the leases and claims that changed behind `after`, or all of them.
     ///
     /// # Errors
     ///
-    /// Fails when the store does not answer as asked.
-    async fn leases(&self) -> Result<LeaseTable, StoreError>;
+    /// Fails when the store does not answer as asked, or forgot the changes.
+    async fn leases(&self, after: Option<u64>) -> Result<LeaseTable, StoreError>;
 
-    /// Writes lease rows, all if each is at the revision given in it, or else none.
+    /// Writes leases and claims, all if each is at the revision given in it, or else none.
     ///
     /// # Errors
     ///
     /// Fails when the store does not answer as asked; the write may have been done.
-    async fn write_leases(&self, rows: &[LeaseRow]) -> Result<Written, StoreError>;
+    async fn write_leases(&self, write: &LeaseWrite) -> Result<Written, StoreError>;
 }
 
 /// Holds what the decisions need to know of a caller's request.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store: configurations, versions, servers and leases.
 
-use guavaspread_fleet::{Backoff, LeaseNext, count_holders};
+use guavaspread_fleet::{Backoff, LeaseNext};
 
 use crate::border::{Feed, Listing, StoreError, Update, Written};
 use crate::prelude::*;
@@ -144,13 +144,13 @@
         let now = entry.clock.now();
         let next = entry.leases.borrow_mut().next(now);
         match next {
-            LeaseNext::Read => read_leases(&entry).await,
-            LeaseNext::Write(rows) => {
-                let result = entry.borders.store.write_leases(&rows).await;
+            LeaseNext::Read(after) => read_leases(&entry, after).await,
+            LeaseNext::Write(write) => {
+                let result = entry.borders.store.write_leases(&write).await;
                 let mut leases = entry.leases.borrow_mut();
                 match result {
                     Ok(Written::Done { revision, shown_ms }) => {
-                        leases.on_written(rows, revision, shown_ms, now, entry.clock.now());
+                        leases.on_written(write, revision, shown_ms, now, entry.clock.now());
                     }
                     Ok(Written::Conflict) => leases.on_write_failed(),
                     Err(e) => {
@@ -169,14 +169,19 @@
     }
 }
 
-async fn read_leases(entry: &Rc<Entry>) {
+async fn read_leases(entry: &Rc<Entry>, after: Option<u64>) {
     let sent_at = entry.clock.now();
-    let table = entry.borders.store.leases().await;
+    let table = entry.borders.store.leases(after).await;
     let now = entry.clock.now();
     match table {
         Ok(table) => {
-            entry.on_holders(count_holders(table.rows.iter()));
-            entry.leases.borrow_mut().on_read(table.rows, table.shown_ms, sent_at, now);
+            entry.leases.borrow_mut().on_read(table, after.is_none(), sent_at, now);
+            let holders = entry.leases.borrow().hosts(now).count();
+            entry.on_holders(holders);
+        }
+        Err(StoreError::HistoryLost) => {
+            log::warn!("the store forgot changes of the leases behind {after:?}; reads all");
+            entry.leases.borrow_mut().on_history_lost();
         }
         Err(e) => {
             log::warn!("leases were not read: {e}");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,8 +35,8 @@
 mod state;
 
 pub use border::{
-    AnswerHead, Asked, Borders, Dialect, EngineReport, Engines, Feed, LeaseTable, Listing,
-    Platform, Sending, Store, StoreError, Update, Written,
+    AnswerHead, Asked, Borders, Dialect, EngineReport, Engines, Feed, Listing, Platform, Sending,
+    Store, StoreError, Update, Written,
 };
 pub use channel::{AnswerBody, Answered, Pool, SendError};
 pub use clock::Clock;
--- a/crates/entry/src/relays.rs
+++ b/crates/entry/src/relays.rs
@@ -195,8 +195,8 @@
     loop {
         tokio::time::sleep(CHOICE_INTERVAL).await;
         let zone = entry.cfg.borrow().zone.clone();
-        let ranked = watchers(&zone, entry.leases.borrow().rows());
         let now = entry.clock.now();
+        let ranked = watchers(&zone, entry.leases.borrow().hosts(now));
         let is_fresh = |watcher| entry.relays.is_fresh_from(watcher, now);
         let chosen = followed(ranked, &entry.holder, is_fresh);
         following.retain(|address, task| {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -2,12 +2,19 @@
 //!
 //! Engines need not check who orders them, so at most one entry host may order an
 //! engine at a time, and a successor starts only when nothing of its predecessor can
-//! arrive any more. A lease is a row of the store's table, written under the condition
-//! that it is as last read; the revision of the write that claimed it is the fencing
-//! token. Its end is a moment of the store's clock, which every answer of the store
-//! shows: a holder takes the latest moment that the clock can show and stops early, a
-//! successor the earliest and starts late, so that no host needs a true clock.
+//! arrive any more. Each host has one lease, a row that it renews; a claim, a row for each
+//! engine, names the host that orders it while that host's lease lasts. Claims change only
+//! when an engine changes hands, so that what is written and read grows with the hosts and
+//! not with the engines. All rows are written under the condition that they are as last
+//! read; the revision of the write that claimed an engine is the fencing token.
+//!
+//! Who claims an engine of a host whose lease has lapsed ends that lease in the same write:
+//! a renewal that comes late then fails, and the lapsed host starts anew. A lease's end is
+//! a moment of the store's clock, which every answer of the store shows: a holder takes the
+//! latest moment that the clock can show and stops early, a successor the earliest and
+//! starts late, so that no host needs a true clock.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use guavaspread_model::rendezvous_score;
@@ -26,30 +33,67 @@
     pub quarantine: Duration,
 }
 
-/// Holds one row of the lease table.
+/// Holds the lease of an entry host.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseRow {
-    /// The engine's id.
-    pub engine: Arc<str>,
-    /// The entry host that may order it.
+pub struct HostLease {
+    /// The entry host.
     pub holder: Arc<str>,
-    /// Where that entry host answers its peers.
+    /// Where it answers its peers.
     pub address: SocketAddr,
-    /// The availability zone of that entry host.
+    /// Its availability zone.
     pub zone: Arc<str>,
-    /// The lease's end, in milliseconds of the store's clock.
+    /// The lease's end, in milliseconds of the store's clock; 0 once another host ended it.
     pub until_ms: u64,
     /// The row's revision as read; 0 if there is none.
     pub revision: u64,
 }
 
+/// Names the entry host that may order an engine while its lease lasts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The engine's id.
+    pub engine: Arc<str>,
+    /// The entry host.
+    pub holder: Arc<str>,
+    /// The row's revision as read; 0 if there is none.
+    pub revision: u64,
+}
+
+/// Holds rows of leases and claims, as the store showed them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LeaseTable {
+    /// Leases of entry hosts.
+    pub hosts: Vec<HostLease>,
+    /// Claims of engines.
+    pub claims: Vec<Claim>,
+    /// The store's revision at that moment.
+    pub revision: u64,
+    /// The store's clock, in milliseconds.
+    pub shown_ms: u64,
+}
+
+/// Renews a host's lease, claims engines, and ends the leases of those that had them.
+///
+/// All rows are written if each is at the revision given in it, or else none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// The host's own lease.
+    pub host: HostLease,
+    /// The engines that it claims.
+    pub claims: Vec<Claim>,
+    /// Lapsed leases that it ends.
+    pub ended: Vec<HostLease>,
+    /// Leases that were ended before; only a condition, that the host has no new one.
+    pub ended_before: Vec<HostLease>,
+}
+
 /// Answers what to do next about leases.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseNext {
-    /// Write these rows, each if its revision is still the one given.
-    Write(Vec<LeaseRow>),
-    /// Read the table: what it holds is not known.
-    Read,
+    /// Write these rows.
+    Write(LeaseWrite),
+    /// Read what changed behind that revision, or the whole table.
+    Read(Option<u64>),
     /// Nothing until that moment.
     Wait(Duration),
 }
@@ -62,11 +106,13 @@
     received_at: Duration,
 }
 
+/// The lease of the host that keeps the book.
 #[derive(Clone, Copy, Debug)]
 struct Own {
-    fence: u64,
     until_ms: u64,
     renew_at: Duration,
+    /// When other hosts that started with this one have shown up in the table.
+    settled_at: Duration,
 }
 
 /// Follows the leases of one entry host.
@@ -77,27 +123,48 @@
     zone: Arc<str>,
     times: LeaseTimes,
     clock: Option<StoreClock>,
-    rows: BTreeMap<Arc<str>, LeaseRow>,
-    own: BTreeMap<Arc<str>, Own>,
+    hosts: BTreeMap<Arc<str>, HostLease>,
+    claims: BTreeMap<Arc<str>, Claim>,
+    /// Revision up to which the table is known.
+    revision: Option<u64>,
+    own: Option<Own>,
+    /// The fencing tokens of the engines that this process claimed.
+    fences: BTreeMap<Arc<str>, u64>,
     /// The engines there are; the flag tells those of the host's own zone.
     engines: BTreeMap<Arc<str>, bool>,
     /// Since when an engine has had no holder that counts.
     free_since: BTreeMap<Arc<str>, Duration>,
+    /// How many hosts come before this one for an engine.
+    ranks: BTreeMap<Arc<str>, u32>,
     stale: bool,
     read_at: Duration,
     reads: Backoff,
 }
 
-/// Between two reads of the table while an engine has no known holder.
-const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Between two reads at most while the store refuses.
+const READ_PAUSE_MAX: Duration = Duration::from_millis(1_000);
+/// How old the table may be when an engine is claimed by it: less than hosts wait for those
+/// that come before them.
+const CLAIM_FRESH: Duration = Duration::from_millis(60);
 /// Before the table is read again that is doubted, and after a first failure.
 const REREAD_PAUSE: Duration = Duration::from_millis(250);
-/// Spreads claims of an engine without a holder over its zone's entry hosts.
-const CLAIM_SPREAD: Duration = Duration::from_millis(400);
+/// From a host's first lease to its first claim of an engine that it did not have: hosts
+/// that start together then share the engines out by what they know of each other.
+const SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Lets hosts that come before this one claim first; a write takes some 10 ms.
+const CLAIM_DELAY_PER_RANK: Duration = Duration::from_millis(150);
+/// Beyond that many hosts the others no longer wait longer.
+const RANK_MAX: u32 = 4;
 /// Lets hosts that hold fewer engines claim first.
-const CLAIM_DELAY_PER_ENGINE: Duration = Duration::from_millis(600);
+const CLAIM_DELAY_PER_SHARE: Duration = Duration::from_millis(600);
 /// Lets hosts of the engine's own zone claim first.
 const CLAIM_DELAY_FAR: Duration = Duration::from_millis(2_000);
+/// Claims in one write, which holds 100 entries at most: a condition and a row for each
+/// claim, as many for the leases that it ends, and the host's own.
+const CLAIMS_MAX: usize = 24;
+/// How long after its lease's end a host counts as one that lives: without a free engine
+/// nothing is read, and renewals are not seen.
+const SEEN_FOR: Duration = Duration::from_secs(30);
 /// Orders stop that long before the lease's end: an order's way to the engine.
 const ORDER_MARGIN_MS: u64 = 300;
 
@@ -110,66 +177,88 @@
             zone,
             times,
             clock: None,
-            rows: BTreeMap::new(),
-            own: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            revision: None,
+            own: None,
+            fences: BTreeMap::new(),
             engines: BTreeMap::new(),
             free_since: BTreeMap::new(),
+            ranks: BTreeMap::new(),
             stale: true,
             read_at: Duration::ZERO,
-            reads: Backoff::new(REREAD_PAUSE, READ_INTERVAL),
+            reads: Backoff::new(REREAD_PAUSE, READ_PAUSE_MAX),
         }
     }
 
     /// Takes over which engines there are, and whether each is of the host's own zone.
     pub fn set_engines(&mut self, engines: BTreeMap<Arc<str>, bool>) {
-        self.own.retain(|engine, _| engines.contains_key(engine));
+        self.fences.retain(|engine, _| engines.contains_key(engine));
         self.free_since.retain(|engine, _| engines.contains_key(engine));
+        self.ranks.retain(|engine, _| engines.contains_key(engine));
         self.engines = engines;
     }
 
-    /// Takes over the whole table from an answer of the store.
-    pub fn on_read(
-        &mut self,
-        rows: Vec<LeaseRow>,
-        shown_ms: u64,
-        sent_at: Duration,
-        now: Duration,
-    ) {
-        self.on_clock(shown_ms, sent_at, now);
-        self.rows = rows.into_iter().map(|row| (row.engine.clone(), row)).collect();
+    /// Takes over the table, or what changed in it, from an answer of the store.
+    pub fn on_read(&mut self, table: LeaseTable, whole: bool, sent_at: Duration, now: Duration) {
+        self.on_clock(table.shown_ms, sent_at, now);
+        if whole {
+            self.hosts.clear();
+            self.claims.clear();
+        }
+        self.hosts.extend(table.hosts.into_iter().map(|row| (row.holder.clone(), row)));
+        self.claims.extend(table.claims.into_iter().map(|row| (row.engine.clone(), row)));
+        self.ranks.clear();
+        self.revision = Some(table.revision);
         self.stale = false;
         self.read_at = now;
         self.reads.on_success();
-        let rows = &self.rows;
-        let host = &self.host;
-        self.own.retain(|engine, _| rows.get(engine).is_some_and(|row| row.holder == *host));
-        for (engine, own) in &mut self.own {
+        self.check_own();
+    }
+
+    /// Gives up what another host has taken over.
+    fn check_own(&mut self) {
+        let row = self.hosts.get(&self.host).filter(|row| row.until_ms > 0);
+        match (row, &mut self.own) {
             // A renewal whose answer was lost took effect if the row shows it.
-            if let Some(row) = rows.get(engine) {
-                own.until_ms = own.until_ms.max(row.until_ms);
+            (Some(row), Some(own)) => own.until_ms = own.until_ms.max(row.until_ms),
+            (Some(_), None) => {}
+            (None, own) => {
+                *own = None;
+                self.fences.clear();
             }
         }
+        let (claims, host) = (&self.claims, &self.host);
+        self.fences.retain(|engine, _| claims.get(engine).is_some_and(|row| row.holder == *host));
+    }
+
+    /// Reports that the store no longer keeps the changes asked for.
+    pub fn on_history_lost(&mut self) {
+        self.revision = None;
+        self.stale = true;
     }
 
     /// Reports that rows were written at `revision`.
     pub fn on_written(
         &mut self,
-        rows: Vec<LeaseRow>,
+        write: LeaseWrite,
         revision: u64,
         shown_ms: u64,
         sent_at: Duration,
         now: Duration,
     ) {
         self.on_clock(shown_ms, sent_at, now);
-        for row in rows {
-            let renew_at = sent_at + self.times.renew;
-            let until_ms = row.until_ms;
-            let fresh = Own { fence: revision, until_ms, renew_at };
-            let own = self.own.entry(row.engine.clone()).or_insert(fresh);
-            own.until_ms = until_ms;
-            own.renew_at = renew_at;
+        let settled_at = self.own.map_or(now + SETTLE_TIME, |own| own.settled_at);
+        let renew_at = sent_at + self.times.renew;
+        self.own = Some(Own { until_ms: write.host.until_ms, renew_at, settled_at });
+        self.hosts.insert(self.host.clone(), HostLease { revision, ..write.host });
+        for row in write.ended {
+            self.hosts.insert(row.holder.clone(), HostLease { revision, ..row });
+        }
+        for row in write.claims {
             self.free_since.remove(&row.engine);
-            self.rows.insert(row.engine.clone(), LeaseRow { revision, ..row });
+            self.fences.insert(row.engine.clone(), revision);
+            self.claims.insert(row.engine.clone(), Claim { revision, ..row });
         }
     }
 
@@ -196,24 +285,30 @@
 
     /// Returns the fencing token for orders to an engine, if the host may give any.
     pub fn fence(&self, engine: &str, now: Duration) -> Option<u64> {
-        let own = self.own.get(engine)?;
-        (self.latest_ms(now)? + ORDER_MARGIN_MS < own.until_ms).then_some(own.fence)
+        let fence = *self.fences.get(engine)?;
+        let until_ms = self.own?.until_ms;
+        (self.latest_ms(now)? + ORDER_MARGIN_MS < until_ms).then_some(fence)
     }
 
     /// Returns the entry host that is known to hold an engine, and its address.
     pub fn holder(&self, engine: &str) -> Option<(&Arc<str>, SocketAddr)> {
-        let row = self.rows.get(engine)?;
-        Some((&row.holder, row.address))
+        let claim = self.claims.get(engine)?;
+        let host = self.hosts.get(&claim.holder)?;
+        Some((&claim.holder, host.address))
     }
 
-    /// Lists the leases as last read.
-    pub fn rows(&self) -> impl Iterator<Item = &LeaseRow> {
-        self.rows.values()
+    /// Lists the leases of the entry hosts that live, as last read.
+    pub fn hosts(&self, now: Duration) -> impl Iterator<Item = &HostLease> {
+        let earliest_ms = self.earliest_ms(now);
+        let kept_ms = SEEN_FOR.as_millis() as u64;
+        self.hosts
+            .values()
+            .filter(move |host| host.until_ms > 0 && host.until_ms + kept_ms > earliest_ms)
     }
 
     /// Lists the engines that the host may order.
     pub fn owned(&self, now: Duration) -> Vec<Arc<str>> {
-        let owned = self.own.keys().filter(|engine| self.fence(engine, now).is_some());
+        let owned = self.fences.keys().filter(|engine| self.fence(engine, now).is_some());
         owned.cloned().collect()
     }
 
@@ -222,68 +317,134 @@
         if self.stale || self.clock.is_none() {
             let at = self.read_at + self.reads.pause();
             let first = self.read_at == Duration::ZERO;
-            return if first || at <= now { LeaseNext::Read } else { LeaseNext::Wait(at) };
+            let read = LeaseNext::Read(self.revision);
+            return if first || at <= now { read } else { LeaseNext::Wait(at) };
+        }
+        let Some(own) = self.own.filter(|own| own.renew_at > now) else {
+            // Alone, so that no other host's claim can make the renewal fail. What a process
+            // before this one claimed goes along.
+            return LeaseNext::Write(self.write(self.claimed_before(), now));
+        };
+        let claims = self.claim_times(own, now);
+        let Some(next) = claims.iter().map(|(_, at)| *at).min() else {
+            return LeaseNext::Wait(own.renew_at);
+        };
+        if next > now {
+            return LeaseNext::Wait(next.min(own.renew_at));
         }
-        let due = self.due(now);
-        if !due.is_empty() {
-            return LeaseNext::Write(due);
+        // Others may have renewed or claimed since.
+        if self.read_at + CLAIM_FRESH < now {
+            return LeaseNext::Read(self.revision);
         }
-        self.next_wait(now)
+        let due = claims.into_iter().filter(|(_, at)| *at <= now).map(|(engine, _)| engine);
+        let share = self.share(now);
+        let room = share - self.fences.len() % share;
+        let due = due.take(room.min(CLAIMS_MAX)).collect();
+        LeaseNext::Write(self.write(due, now))
     }
 
-    /// Collects the rows to renew or claim; all renewals go along once one is due.
-    fn due(&mut self, now: Duration) -> Vec<LeaseRow> {
-        let mut engines: Vec<Arc<str>> = Vec::new();
-        let is_due = self.own.values().any(|own| own.renew_at <= now);
-        for engine in self.engines.keys().cloned().collect::<Vec<_>>() {
-            let renew = is_due && self.own.contains_key(&engine);
-            if renew || self.claim_at(&engine, now).is_some_and(|at| at <= now) {
-                engines.push(engine);
-            }
-        }
+    /// Lists engines that a process before this one claimed on the same host.
+    fn claimed_before(&self) -> Vec<Arc<str>> {
+        let mine = self.claims.values().filter(|claim| {
+            claim.holder == self.host
+                && self.engines.contains_key(&claim.engine)
+                && !self.fences.contains_key(&claim.engine)
+        });
+        mine.take(CLAIMS_MAX).map(|claim| claim.engine.clone()).collect()
+    }
+
+    fn write(&self, engines: Vec<Arc<str>>, now: Duration) -> LeaseWrite {
         let until_ms = self.latest_ms(now).unwrap_or(0) + self.times.lease.as_millis() as u64;
-        let row = |engine: Arc<str>| {
-            let revision = self.rows.get(&engine).map_or(0, |row| row.revision);
-            let holder = self.host.clone();
-            let zone = self.zone.clone();
-            LeaseRow { engine, holder, address: self.address, zone, until_ms, revision }
+        let host = HostLease {
+            holder: self.host.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            until_ms,
+            revision: self.hosts.get(&self.host).map_or(0, |row| row.revision),
+        };
+        let holders: BTreeSet<&Arc<str>> =
+            engines.iter().filter_map(|engine| Some(&self.claims.get(engine)?.holder)).collect();
+        let others = holders.into_iter().filter(|holder| **holder != self.host);
+        let lapsed = others.filter_map(|holder| self.hosts.get(holder)).cloned();
+        let (mut ended, ended_before): (Vec<HostLease>, Vec<HostLease>) =
+            lapsed.partition(|lease| lease.until_ms > 0);
+        ended.iter_mut().for_each(|lease| lease.until_ms = 0);
+        let claim = |engine: Arc<str>| {
+            let revision = self.claims.get(&engine).map_or(0, |row| row.revision);
+            Claim { engine, holder: self.host.clone(), revision }
         };
-        engines.into_iter().map(row).collect()
+        let claims = engines.into_iter().map(claim).collect();
+        LeaseWrite { host, claims, ended, ended_before }
     }
 
-    fn next_wait(&mut self, now: Duration) -> LeaseNext {
-        let renewals = self.own.values().map(|own| own.renew_at).min();
-        let engines: Vec<Arc<str>> = self.engines.keys().cloned().collect();
-        let claims = engines.iter().filter_map(|engine| self.claim_at(engine, now)).min();
-        if claims.is_some() && now >= self.read_at + READ_INTERVAL {
-            return LeaseNext::Read;
+    /// Lists the engines that the host may claim, and from when on.
+    fn claim_times(&mut self, own: Own, now: Duration) -> Vec<(Arc<str>, Duration)> {
+        let free: Vec<(Arc<str>, bool)> = self
+            .engines
+            .iter()
+            .filter(|(engine, _)| self.is_free(engine, now))
+            .map(|(engine, near)| (engine.clone(), *near))
+            .collect();
+        self.free_since
+            .retain(|engine, _| free.binary_search_by(|(other, _)| other.cmp(engine)).is_ok());
+        let held = CLAIM_DELAY_PER_SHARE * (self.fences.len() / self.share(now)) as u32;
+        let mut times = Vec::with_capacity(free.len());
+        for (engine, near) in free {
+            let is_own = self.claims.get(&engine).is_some_and(|claim| claim.holder == self.host);
+            if is_own {
+                times.push((engine, now));
+                continue;
+            }
+            let since = *self.free_since.entry(engine.clone()).or_insert(now);
+            let ranked = CLAIM_DELAY_PER_RANK * self.rank(&engine, now);
+            let far = if near { Duration::ZERO } else { CLAIM_DELAY_FAR };
+            times.push((engine, since.max(own.settled_at) + ranked + held + far));
         }
-        let read_at = claims.map(|_| self.read_at + READ_INTERVAL);
-        let at = [renewals, claims, read_at].into_iter().flatten().min();
-        LeaseNext::Wait(at.unwrap_or(now + READ_INTERVAL).max(now))
+        times
     }
 
-    /// Returns when the host may claim an engine, `None` while another holds it.
-    fn claim_at(&mut self, engine: &Arc<str>, now: Duration) -> Option<Duration> {
-        if self.own.contains_key(engine) {
-            return None;
+    /// Tells whether no host may order an engine any more, and this one has not claimed it.
+    fn is_free(&self, engine: &Arc<str>, now: Duration) -> bool {
+        if self.fences.contains_key(engine) {
+            return false;
         }
-        let row = self.rows.get(engine);
-        // A lease of the process that ran here before: orders of one host have one holder.
-        if row.is_some_and(|row| row.holder == self.host) {
-            return Some(now);
+        let Some(claim) = self.claims.get(engine) else {
+            return true;
+        };
+        if claim.holder == self.host {
+            return true;
         }
         let quarantine_ms = self.times.quarantine.as_millis() as u64;
-        if row.is_some_and(|row| self.earliest_ms(now) < row.until_ms + quarantine_ms) {
-            self.free_since.remove(engine);
-            return None;
+        let until_ms = self.hosts.get(&claim.holder).map_or(0, |host| host.until_ms);
+        until_ms == 0 || self.earliest_ms(now) >= until_ms + quarantine_ms
+    }
+
+    /// Lists the hosts of the zone whose leases last.
+    fn neighbours(&self, now: Duration) -> impl Iterator<Item = &HostLease> {
+        let earliest_ms = self.earliest_ms(now);
+        self.hosts
+            .values()
+            .filter(move |host| host.zone == self.zone && host.until_ms > earliest_ms)
+    }
+
+    /// Returns the host's share of the zone's engines.
+    fn share(&self, now: Duration) -> usize {
+        let engines = self.engines.values().filter(|near| **near).count();
+        engines.div_ceil(self.neighbours(now).count().max(1)).max(1)
+    }
+
+    /// Returns how many hosts of the zone come before this one for an engine.
+    fn rank(&mut self, engine: &Arc<str>, now: Duration) -> u32 {
+        if let Some(rank) = self.ranks.get(engine) {
+            return *rank;
         }
-        let since = *self.free_since.entry(engine.clone()).or_insert(now);
-        let share = rendezvous_score(engine, &self.host) as f64 / u64::MAX as f64;
-        let near = self.engines.get(engine).copied().unwrap_or(false);
-        let far = if near { Duration::ZERO } else { CLAIM_DELAY_FAR };
-        let held = CLAIM_DELAY_PER_ENGINE * self.own.len() as u32;
-        Some(since + CLAIM_SPREAD.mul_f64(share) + held + far)
+        let mine = (rendezvous_score(engine, &self.host), &self.host);
+        let before = self
+            .neighbours(now)
+            .filter(|host| (rendezvous_score(engine, &host.holder), &host.holder) > mine);
+        let rank = before.take(RANK_MAX as usize).count() as u32;
+        self.ranks.insert(engine.clone(), rank);
+        rank
     }
 
     fn on_clock(&mut self, shown_ms: u64, sent_at: Duration, received_at: Duration) {
--- a/crates/fleet/src/shares.rs
+++ b/crates/fleet/src/shares.rs
@@ -5,27 +5,16 @@
 //! first send of each request is bounded over all hosts, as a share of the requests and a
 //! slack, so each host keeps to the share on its own requests and to its part of the slack.
 
-use std::collections::BTreeSet;
-
 use guavaspread_placement::RetryBudget;
 
-use crate::lease::LeaseRow;
-use crate::prelude::*;
-
 /// Of the share of the requests, what is spent: the rest makes good for hosts that are not
 /// seen, and for parts of the slack that are smaller than a whole send.
 const SHARE_SPENT: f64 = 0.9;
-/// Hosts for each that is seen: one that owns no engine holds no lease.
+/// Hosts for each that is seen: others have started since the leases were read.
 const HOSTS_PER_HOLDER: f64 = 1.25;
 /// The fewest hosts that the slack is divided among: spare ones may come at any moment.
 const HOSTS_MIN: f64 = 16.0;
 
-/// Counts the entry hosts that hold leases.
-pub fn count_holders<'a>(rows: impl Iterator<Item = &'a LeaseRow>) -> usize {
-    let holders: BTreeSet<&Arc<str>> = rows.map(|row| &row.holder).collect();
-    holders.len()
-}
-
 /// Makes a host's budget of repeated sends to a service, beside `holders` hosts with leases.
 pub fn retry_budget(share: f64, slack: f64, holders: usize) -> RetryBudget {
     RetryBudget::new(share * SHARE_SPENT, slack_part(slack, holders))
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -10,7 +10,7 @@
 
 use guavaspread_model::rendezvous_score;
 
-use crate::lease::LeaseRow;
+use crate::lease::HostLease;
 use crate::prelude::*;
 
 /// Watchers of a zone: one may fail without its followers turning to the store.
@@ -18,25 +18,21 @@
 /// Entry hosts of a zone from which watchers save more calls than they make.
 const ZONE_HOSTS_MIN: usize = 5;
 
-/// Lists the watchers of a zone, by the leases that its entry hosts hold.
+/// Lists the watchers of a zone, by the leases of its entry hosts.
 ///
 /// Hosts that read the leases at different moments may choose differently, which costs
 /// calls and nothing else.
 pub fn watchers<'a>(
     zone: &str,
-    rows: impl Iterator<Item = &'a LeaseRow>,
+    hosts: impl Iterator<Item = &'a HostLease>,
 ) -> Vec<(Arc<str>, SocketAddr)> {
-    let mut hosts: BTreeMap<&Arc<str>, SocketAddr> = BTreeMap::new();
-    for row in rows.filter(|row| &*row.zone == zone) {
-        hosts.insert(&row.holder, row.address);
-    }
-    if hosts.len() < ZONE_HOSTS_MIN {
-        return Vec::new();
-    }
     let mut ranked: Vec<(u64, &Arc<str>, SocketAddr)> = hosts
-        .into_iter()
-        .map(|(host, address)| (rendezvous_score(zone, host), host, address))
+        .filter(|host| &*host.zone == zone)
+        .map(|host| (rendezvous_score(zone, &host.holder), &host.holder, host.address))
         .collect();
+    if ranked.len() < ZONE_HOSTS_MIN {
+        return Vec::new();
+    }
     ranked.sort_by(|a, b| b.cmp(a));
     ranked.into_iter().take(WATCHERS).map(|(_, host, address)| (host.clone(), address)).collect()
 }
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use guavaspread_fleet::{LeaseBook, LeaseNext, LeaseRow, LeaseTimes};
+use guavaspread_fleet::{
+    Claim, HostLease, LeaseBook, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
 
 const TIMES: LeaseTimes = LeaseTimes {
     lease: Duration::from_secs(12),
@@ -19,37 +22,59 @@
 const REST: Duration = Duration::from_millis(3_000);
 const HOSTS: usize = 3;
 const ENGINE: &str = "i-1";
+/// Some writes reach the store only when the lease that they renew has lapsed.
+const LATE_MAX_MS: u64 = 20_000;
 /// The store's clock is not the hosts' clock.
 const STORE_OFFSET_MS: u64 = 77_000;
 
+/// The table of the store, with what changed at which revision.
 #[derive(Default)]
 struct Table {
-    rows: BTreeMap<Arc<str>, LeaseRow>,
+    hosts: BTreeMap<Arc<str>, HostLease>,
+    claims: BTreeMap<Arc<str>, Claim>,
     revision: u64,
 }
 
 impl Table {
-    fn write(&mut self, rows: &[LeaseRow]) -> Option<u64> {
-        let current = |row: &LeaseRow| self.rows.get(&row.engine).map_or(0, |r| r.revision);
-        if rows.iter().any(|row| current(row) != row.revision) {
+    /// Writes all rows or none; without the leases to end if `ends` is not set.
+    fn write(&mut self, write: &LeaseWrite, ends: bool) -> Option<u64> {
+        let LeaseWrite { ended, ended_before, .. } = write;
+        let (ended, ended_before) =
+            if ends { (&ended[..], &ended_before[..]) } else { (&[][..], &[][..]) };
+        let hosts = std::iter::once(&write.host).chain(ended);
+        let host_at = |row: &HostLease| self.hosts.get(&row.holder).map_or(0, |r| r.revision);
+        let claim_at = |row: &Claim| self.claims.get(&row.engine).map_or(0, |r| r.revision);
+        if hosts.clone().chain(ended_before).any(|row| host_at(row) != row.revision)
+            || write.claims.iter().any(|row| claim_at(row) != row.revision)
+        {
             return None;
         }
         self.revision += 1;
         let revision = self.revision;
-        for row in rows {
-            self.rows.insert(row.engine.clone(), LeaseRow { revision, ..row.clone() });
+        for row in hosts {
+            self.hosts.insert(row.holder.clone(), HostLease { revision, ..row.clone() });
+        }
+        for row in &write.claims {
+            self.claims.insert(row.engine.clone(), Claim { revision, ..row.clone() });
         }
         Some(revision)
     }
+
+    fn read(&self, after: Option<u64>, shown_ms: u64) -> LeaseTable {
+        let after = after.unwrap_or(0);
+        let hosts = self.hosts.values().filter(|row| row.revision > after).cloned().collect();
+        let claims = self.claims.values().filter(|row| row.revision > after).cloned().collect();
+        LeaseTable { hosts, claims, revision: self.revision, shown_ms }
+    }
 }
 
 struct Late {
     at: Duration,
-    rows: Vec<LeaseRow>,
+    write: LeaseWrite,
 }
 
 /// Plays one run and returns the orders that could have been given: when, by whom, fence.
-fn play(seed: u64, times: LeaseTimes) -> Vec<(Duration, usize, u64)> {
+fn play(seed: u64, times: LeaseTimes, ends: bool) -> Vec<(Duration, usize, u64)> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut table = Table { revision: 100, ..Table::default() };
     let address = "10.0.0.1:80".parse().unwrap();
@@ -70,7 +95,7 @@
         let shown_ms = now.as_millis() as u64 + STORE_OFFSET_MS;
         late.retain(|write| {
             if write.at <= now {
-                table.write(&write.rows);
+                table.write(&write.write, ends);
             }
             write.at > now
         });
@@ -95,20 +120,20 @@
             // An answer may be up to 300 ms old when it is read.
             let sent_at = now.saturating_sub(Duration::from_millis(rng.random_range(0..300)));
             match book.next(now) {
-                LeaseNext::Read if is_cut => book.on_read_failed(now, rng.random()),
-                LeaseNext::Read => {
-                    let rows = table.rows.values().cloned().collect();
-                    book.on_read(rows, shown_ms, sent_at, now);
+                LeaseNext::Read(_) if is_cut => book.on_read_failed(now, rng.random()),
+                LeaseNext::Read(Some(_)) if rng.random_ratio(1, 40) => book.on_history_lost(),
+                LeaseNext::Read(after) => {
+                    book.on_read(table.read(after, shown_ms), after.is_none(), sent_at, now);
                 }
                 LeaseNext::Write(_) if is_cut && rng.random_bool(0.5) => book.on_write_failed(),
-                LeaseNext::Write(rows) if is_cut || rng.random_ratio(1, 8) => {
+                LeaseNext::Write(write) if is_cut || rng.random_ratio(1, 8) => {
                     // The write is done now or later, and its answer is lost.
-                    let after = Duration::from_millis(rng.random_range(0..6_000));
-                    late.push(Late { at: now + after, rows });
+                    let after = Duration::from_millis(rng.random_range(0..LATE_MAX_MS));
+                    late.push(Late { at: now + after, write });
                     book.on_write_failed();
                 }
-                LeaseNext::Write(rows) => match table.write(&rows) {
-                    Some(revision) => book.on_written(rows, revision, shown_ms, sent_at, now),
+                LeaseNext::Write(write) => match table.write(&write, ends) {
+                    Some(revision) => book.on_written(write, revision, shown_ms, sent_at, now),
                     None => book.on_write_failed(),
                 },
                 LeaseNext::Wait(_) => {}
@@ -140,7 +165,7 @@
 #[test]
 fn one_holder_in_ten_thousand_interleavings() {
     for seed in 0..10_000 {
-        if let Some(turn) = broken(&play(seed, TIMES)) {
+        if let Some(turn) = broken(&play(seed, TIMES, true)) {
             panic!("seed {seed}: {turn}");
         }
     }
@@ -149,30 +174,139 @@
 #[test]
 fn without_the_rest_between_holders_it_breaks() {
     let times = LeaseTimes { quarantine: Duration::ZERO, ..TIMES };
-    assert!((0..500).any(|seed| broken(&play(seed, times)).is_some()));
+    assert!((0..500).any(|seed| broken(&play(seed, times, true)).is_some()));
+}
+
+#[test]
+fn without_ending_the_lease_of_the_holder_before_it_breaks() {
+    assert!((0..2_000).any(|seed| broken(&play(seed, TIMES, false)).is_some()));
 }
 
 #[test]
 fn engines_are_owned_most_of_the_time() {
-    let ticks: usize = (0..200).map(|seed| play(seed, TIMES).len()).sum();
+    let ticks: usize = (0..200).map(|seed| play(seed, TIMES, true).len()).sum();
     assert!(ticks > 200 * 1_600 / 2, "owned in {ticks} of {} ticks", 200 * 1_600);
 }
 
+fn host(number: usize, until_ms: u64, revision: u64) -> HostLease {
+    HostLease {
+        holder: format!("host-{number}").into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "north".into(),
+        until_ms,
+        revision,
+    }
+}
+
+fn book_of(number: usize, engines: usize) -> LeaseBook {
+    let HostLease { holder, address, zone, .. } = host(number, 0, 0);
+    let mut book = LeaseBook::new(holder, address, zone, TIMES);
+    book.set_engines((0..engines).map(|n| (format!("i-{n}").into(), true)).collect());
+    book
+}
+
 #[test]
 fn a_restarted_process_takes_its_own_engines_back_at_once() {
-    let address = "10.0.0.1:80".parse().unwrap();
-    let row = LeaseRow {
-        engine: ENGINE.into(),
-        holder: "host-0".into(),
-        address,
-        zone: "north".into(),
-        until_ms: STORE_OFFSET_MS + 60_000,
-        revision: 7,
-    };
-    let mut book = LeaseBook::new("host-0".into(), address, "north".into(), TIMES);
-    book.set_engines(BTreeMap::from([(ENGINE.into(), true)]));
+    let claim = Claim { engine: "i-0".into(), holder: "host-0".into(), revision: 7 };
+    let hosts = vec![host(0, STORE_OFFSET_MS + 60_000, 9)];
+    let shown_ms = STORE_OFFSET_MS;
+    let table = LeaseTable { hosts, claims: vec![claim.clone()], revision: 9, shown_ms };
+    let mut book = book_of(0, 1);
     let now = Duration::from_millis(100);
-    assert_eq!(book.next(now), LeaseNext::Read);
-    book.on_read(vec![row], STORE_OFFSET_MS, now, now);
-    assert!(matches!(book.next(now), LeaseNext::Write(rows) if rows[0].revision == 7));
+    assert_eq!(book.next(now), LeaseNext::Read(None));
+    book.on_read(table, true, now, now);
+    let LeaseNext::Write(write) = book.next(now) else { panic!("{:?}", book.next(now)) };
+    assert_eq!((write.host.revision, write.claims), (9, vec![claim]));
+    assert_eq!((write.ended, write.ended_before), (vec![], vec![]));
+}
+
+/// The pattern of a store that carries out a renewal long after it was sent.
+#[test]
+fn who_claims_an_engine_ends_the_lease_of_its_holder() {
+    let claim = Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7 };
+    let lapsed = host(1, STORE_OFFSET_MS, 8);
+    let shown_ms = STORE_OFFSET_MS + 20_000;
+    let mut table = Table { revision: 8, ..Table::default() };
+    table.hosts.insert("host-1".into(), lapsed);
+    table.claims.insert("i-0".into(), claim);
+    let renewal = LeaseWrite {
+        host: host(1, shown_ms + 12_000, 8),
+        claims: vec![],
+        ended: vec![],
+        ended_before: vec![],
+    };
+    let mut book = book_of(0, 1);
+    let claimed = (1..100).any(|tick| {
+        let now = Duration::from_millis(50) * tick;
+        let shown_ms = shown_ms + now.as_millis() as u64;
+        match book.next(now) {
+            LeaseNext::Read(after) => {
+                book.on_read(table.read(after, shown_ms), after.is_none(), now, now);
+            }
+            LeaseNext::Write(write) => {
+                let ended = !write.ended.is_empty();
+                let revision = table.write(&write, true).unwrap();
+                book.on_written(write, revision, shown_ms, now, now);
+                return ended;
+            }
+            LeaseNext::Wait(_) => {}
+        }
+        false
+    });
+    assert!(claimed && book.owned(Duration::from_secs(1)).len() == 1);
+    assert_eq!(table.write(&renewal, true), None);
+}
+
+/// Starts `hosts` at nearly the same time and returns what the store had to do: reads with
+/// the rows that they got, writes, writes refused; and the engines of each host at the end.
+fn cold_start(hosts: usize, engines: usize) -> ([usize; 4], Vec<usize>) {
+    let mut table = Table::default();
+    let mut books: Vec<LeaseBook> = (0..hosts).map(|n| book_of(n, engines)).collect();
+    let [mut reads, mut rows, mut writes, mut refused] = [0; 4];
+    for tick in 1..1_000u32 {
+        let now = Duration::from_millis(10) * tick;
+        let shown_ms = now.as_millis() as u64 + STORE_OFFSET_MS;
+        // All start within 0.3 s; what a host writes, it read one step ago or more.
+        let running = books.iter_mut().enumerate().filter(|(n, _)| tick as usize > n % 30);
+        let steps: Vec<(usize, LeaseNext)> = running.map(|(n, book)| (n, book.next(now))).collect();
+        for (n, next) in steps {
+            match next {
+                LeaseNext::Read(after) => {
+                    let read = table.read(after, shown_ms);
+                    reads += 1;
+                    rows += read.hosts.len() + read.claims.len();
+                    books[n].on_read(read, after.is_none(), now, now);
+                }
+                LeaseNext::Write(write) => {
+                    writes += 1;
+                    match table.write(&write, true) {
+                        Some(revision) => {
+                            books[n].on_written(write, revision, shown_ms, now, now);
+                        }
+                        None => {
+                            refused += 1;
+                            books[n].on_write_failed();
+                        }
+                    }
+                }
+                LeaseNext::Wait(_) => {}
+            }
+        }
+    }
+    let now = Duration::from_secs(10);
+    ([reads, rows, writes, refused], books.iter().map(|book| book.owned(now).len()).collect())
+}
+
+/// Hosts and engines of one zone, as on the users' sites and beyond.
+#[test_case(3, 3)]
+#[test_case(15, 22; "grown")]
+#[test_case(75, 750; "three hundred hosts in four zones")]
+fn hosts_that_start_together_share_the_engines_out(hosts: usize, engines: usize) {
+    let ([reads, rows, writes, refused], owned) = cold_start(hosts, engines);
+    assert_eq!(owned.iter().sum::<usize>(), engines, "{owned:?}");
+    let share = engines.div_ceil(hosts);
+    assert!(owned.iter().all(|count| *count <= share * 2), "{owned:?}");
+    // What a host reads is each row once, and renewals and claims now and then.
+    assert!(rows <= hosts * (engines + hosts * 4), "{rows} rows in {reads} reads");
+    assert!(refused * 10 <= writes, "{refused} of {writes} writes were refused");
 }
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -3,9 +3,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
-use guavaspread_fleet::{LeaseRow, count_holders, retry_budget};
+use guavaspread_fleet::retry_budget;
 use guavaspread_placement::RetryBudget;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -13,7 +12,7 @@
 
 const SHARE: f64 = 0.2;
 const WINDOW_MS: u64 = 10_000;
-/// One host in so many owns no engine, so that no other sees it.
+/// One host in so many has just started, so that no other sees it.
 const UNSEEN: usize = 5;
 const LASTS_MS: u64 = 40_000;
 
@@ -67,30 +66,3 @@
     }
     worst
 }
-
-#[test]
-fn hosts_are_counted_by_their_leases() {
-    let row = |engine: &str, holder: &str| LeaseRow {
-        engine: engine.into(),
-        holder: holder.into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        zone: "north".into(),
-        until_ms: 1,
-        revision: 1,
-    };
-    let rows = [row("e-1", "h-1"), row("e-2", "h-1"), row("e-3", "h-2")];
-    assert_eq!(count_holders(rows.iter()), 2);
-}
-
-#[test]
-fn a_budget_always_allows_one_send() {
-    let mut budget = retry_budget(SHARE, 1.0, 10_000);
-    assert!(budget.try_retry());
-    assert!(!budget.try_retry());
-    // One in five requests may be sent again, less what is kept back.
-    let per_send = Duration::from_secs(1).as_secs_f64() / (SHARE * 0.9);
-    for _ in 0..per_send.ceil() as u32 {
-        budget.on_request();
-    }
-    assert!(budget.try_retry());
-}
--- a/crates/fleet/tests/watch.rs
+++ b/crates/fleet/tests/watch.rs
@@ -5,17 +5,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use guavaspread_fleet::{Backoff, Hearsay, LeaseRow, followed, watchers};
+use guavaspread_fleet::{Backoff, Hearsay, HostLease, followed, watchers};
 
 const LIMIT: Duration = Duration::from_millis(1_200);
 
-fn row(engine: u32, host: u32, zone: &str) -> LeaseRow {
-    LeaseRow {
-        engine: format!("i-{engine}").into(),
+fn lease(host: u32, zone: &str) -> HostLease {
+    HostLease {
         holder: format!("host-{host}").into(),
         address: format!("10.0.0.{host}:80").parse().unwrap(),
         zone: zone.into(),
-        until_ms: 0,
+        until_ms: 1,
         revision: 1,
     }
 }
@@ -23,24 +22,24 @@
 #[test]
 fn a_large_zone_has_two_watchers_whatever_its_size() {
     for hosts in [5, 20, 100] {
-        let rows: Vec<LeaseRow> = (0..hosts).map(|n| row(n, n, "north")).collect();
-        assert_eq!(watchers("north", rows.iter()).len(), 2);
+        let leases: Vec<HostLease> = (0..hosts).map(|n| lease(n, "north")).collect();
+        assert_eq!(watchers("north", leases.iter()).len(), 2);
     }
 }
 
 #[test]
-fn hosts_choose_alike_however_the_engines_are_held() {
-    let rows: Vec<LeaseRow> = (0..30).map(|n| row(n, n % 10, "north")).collect();
-    let other: Vec<LeaseRow> = (0..30).map(|n| row(n, 9 - n % 10, "north")).collect();
-    assert_eq!(watchers("north", rows.iter()), watchers("north", other.iter()));
+fn hosts_choose_alike_in_whatever_order_they_read() {
+    let leases: Vec<HostLease> = (0..10).map(|n| lease(n, "north")).collect();
+    let other: Vec<HostLease> = (0..10).rev().map(|n| lease(n, "north")).collect();
+    assert_eq!(watchers("north", leases.iter()), watchers("north", other.iter()));
 }
 
 #[test]
 fn small_zones_and_other_zones_have_none() {
-    let rows: Vec<LeaseRow> = (0..4).map(|n| row(n, n, "north")).collect();
-    assert!(watchers("north", rows.iter()).is_empty());
-    let rows: Vec<LeaseRow> = (0..9).map(|n| row(n, n, "south")).collect();
-    assert!(watchers("north", rows.iter()).is_empty());
+    let leases: Vec<HostLease> = (0..4).map(|n| lease(n, "north")).collect();
+    assert!(watchers("north", leases.iter()).is_empty());
+    let leases: Vec<HostLease> = (0..9).map(|n| lease(n, "south")).collect();
+    assert!(watchers("north", leases.iter()).is_empty());
 }
 
 #[test]
@@ -64,8 +63,8 @@
 
 #[test]
 fn the_second_watcher_is_followed_only_while_the_first_is_not_fresh() {
-    let rows: Vec<LeaseRow> = (0..20).map(|n| row(n, n, "north")).collect();
-    let ranked = watchers("north", rows.iter());
+    let leases: Vec<HostLease> = (0..20).map(|n| lease(n, "north")).collect();
+    let ranked = watchers("north", leases.iter());
     let [(first, first_at), (second, second_at)] = &ranked[..] else { unreachable!() };
     let choose = |host: &str, fresh: &[SocketAddr]| {
         followed(ranked.clone(), host, |watcher| fresh.contains(&watcher))
