--- a/crates/entry/src/relays.rs
+++ b/crates/entry/src/relays.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use futures::{SinkExt, StreamExt};
-use guavaspread_fleet::{Hearsay, followed, watchers};
+use guavaspread_fleet::{Hearsay, PassedOn, followed, watchers};
 use tokio::sync::{broadcast, mpsc};
 use tokio::task::JoinHandle;
 use tokio_util::codec::Framed;
@@ -52,12 +52,17 @@
 /// Holds the news of both lists, heard and passed on.
 pub(crate) struct Relays {
     heard: [Heard; 2],
+    passed_on: RefCell<PassedOn>,
     news: broadcast::Sender<Bytes>,
 }
 
 impl Default for Relays {
     fn default() -> Self {
-        Relays { heard: Default::default(), news: broadcast::Sender::new(NEWS_MAX) }
+        Relays {
+            heard: Default::default(),
+            passed_on: RefCell::default(),
+            news: broadcast::Sender::new(NEWS_MAX),
+        }
     }
 }
 
@@ -88,16 +93,33 @@
 
     /// Passes on what was read from the store.
     pub(crate) fn on_read(&self, entry: &Entry, feed: Feed, listing: &Listing, whole: bool) {
-        self.heard(feed).read_at.set(Some(entry.clock.now()));
+        let now = entry.clock.now();
+        self.heard(feed).read_at.set(Some(now));
         if listing.updates.is_empty() || !self.has_followers() {
             return;
         }
-        let listing = Some((feed, listing.clone()));
-        let news = News { listing, whole, ages_ms: self.ages(entry.clock.now()) };
+        let updates = if whole { listing.updates.clone() } else { self.news_of(listing, now) };
+        // Without rows it still tells up to which revision they know the list.
+        let listing = Some((feed, Listing { updates, revision: listing.revision }));
+        let news = News { listing, whole, ages_ms: self.ages(now) };
         // Followers that have left meanwhile need no news.
         let _ = self.news.send(frame(&FromOwner::News(news)));
     }
 
+    /// Returns the rows that followers need to hear of.
+    fn news_of(&self, listing: &Listing, now: Duration) -> Vec<Update> {
+        let mut passed_on = self.passed_on.borrow_mut();
+        let is_news = |update: &&Update| match update {
+            Update::Server { server, .. } => passed_on.is_news(server, now),
+            Update::Gone { id, .. } | Update::Unreadable { key: id, .. } => {
+                passed_on.on_gone(id);
+                true
+            }
+            Update::Catalog(_) | Update::Version { .. } => true,
+        };
+        listing.updates.iter().filter(is_news).cloned().collect()
+    }
+
     fn heard(&self, feed: Feed) -> &Heard {
         match feed {
             Feed::Control => &self.heard[0],
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -44,4 +44,4 @@
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
 pub use shares::{retry_budget, slack_part};
-pub use watch::{Hearsay, followed, watchers};
+pub use watch::{Hearsay, PassedOn, followed, watchers};
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -12,11 +12,14 @@
 
 use crate::lease::HostLease;
 use crate::prelude::*;
+use crate::roster::{HeldModel, Server};
 
 /// Watchers of a zone: one may fail without its followers turning to the store.
 const WATCHERS: usize = 2;
 /// Entry hosts of a zone from which watchers save more calls than they make.
 const ZONE_HOSTS_MIN: usize = 5;
+/// Between two rows that are passed on because a server holds other adapters.
+const HELD_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Lists the watchers of a zone, by the leases of its entry hosts.
 ///
@@ -86,3 +89,37 @@
         self.heard.get(&watcher).is_some_and(|heard| now < *heard + limit)
     }
 }
+
+/// Remembers what a watcher has passed on of each server.
+///
+/// Servers write their rows again every second or so. Followers need to hear of one that
+/// comes, goes, drains or starts anew; what an engine holds is only a hint to them, for
+/// when its owner does not answer.
+#[derive(Debug, Default)]
+pub struct PassedOn {
+    servers: HashMap<Arc<str>, (Server, Duration)>,
+}
+
+impl PassedOn {
+    /// Tells whether followers need to hear of a server's row, and takes that it is passed on.
+    pub fn is_news(&mut self, server: &Server, now: Duration) -> bool {
+        if let Some((known, at)) = self.servers.get(&server.id)
+            && (known == server
+                || now < *at + HELD_INTERVAL && without_adapters(known) == without_adapters(server))
+        {
+            return false;
+        }
+        self.servers.insert(server.id.clone(), (server.clone(), now));
+        true
+    }
+
+    /// Takes over that a server is gone.
+    pub fn on_gone(&mut self, id: &str) {
+        self.servers.remove(id);
+    }
+}
+
+fn without_adapters(server: &Server) -> Server {
+    let bare = |model: &HeldModel| HeldModel { adapters: Vec::new(), ..model.clone() };
+    Server { models: server.models.iter().map(bare).collect(), ..server.clone() }
+}
--- a/crates/fleet/tests/watch.rs
+++ b/crates/fleet/tests/watch.rs
@@ -2,10 +2,17 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use guavaspread_fleet::{Backoff, Hearsay, HostLease, followed, watchers};
+use common::server;
+
+use guavaspread_fleet::{
+    Backoff, Hearsay, HeldAdapter, HeldModel, HostLease, PassedOn, Server, ServerState, followed,
+    watchers,
+};
 
 const LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -96,3 +103,41 @@
         assert!(backoff.on_failure() <= LONGEST);
     }
 }
+
+fn holding(adapter: &str) -> Server {
+    let adapters = vec![HeldAdapter { name: adapter.into(), version: 1 }];
+    let models = vec![HeldModel { name: "base".into(), version: 1, adapters }];
+    Server { models, ..server("a") }
+}
+
+/// The pattern of a thousand servers that write their rows every second.
+#[test]
+fn only_what_followers_need_is_passed_on() {
+    let ms = Duration::from_millis;
+    let mut passed_on = PassedOn::default();
+    let rows = 1_000 * 60;
+    let passed = (0..rows).filter(|row| {
+        let adapter = format!("a{}", row / 1_000);
+        let server = Server { id: format!("i-{}", row % 1_000).into(), ..holding(&adapter) };
+        passed_on.is_news(&server, ms(row / 1_000 * 1_200))
+    });
+    // Each server once, and what it holds with each fifth row.
+    assert_eq!(passed.count(), 1_000 * 12);
+}
+
+#[test]
+fn followers_hear_at_once_of_a_server_that_drains_goes_or_starts_anew() {
+    let ms = Duration::from_millis;
+    let mut passed_on = PassedOn::default();
+    assert!(passed_on.is_news(&holding("a1"), ms(0)));
+    assert!(!passed_on.is_news(&holding("a1"), ms(10_000)));
+    assert!(!passed_on.is_news(&holding("a2"), ms(2_000)));
+    let draining = Server { state: ServerState::Draining { remaining: None }, ..holding("a2") };
+    assert!(passed_on.is_news(&draining, ms(2_100)));
+    assert!(passed_on.is_news(&Server { born: 9, ..holding("a2") }, ms(2_200)));
+    let other = HeldModel { name: "other".into(), version: 1, adapters: Vec::new() };
+    let switched = Server { born: 9, models: vec![other], ..holding("a2") };
+    assert!(passed_on.is_news(&switched, ms(2_300)));
+    passed_on.on_gone("a");
+    assert!(passed_on.is_news(&switched, ms(2_400)));
+}
