Spread claims, and pause after writes that fail

Ruled out: 0.3 s of claims in one write (58 of 301 writes refused with 75 hosts of a zone, as hosts then claim before those that come first).

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -152,10 +152,10 @@
                     Ok(Written::Done { revision, shown_ms }) => {
                         leases.on_written(write, revision, shown_ms, now, entry.clock.now());
                     }
-                    Ok(Written::Conflict) => leases.on_write_failed(),
+                    Ok(Written::Conflict) => leases.on_conflict(),
                     Err(e) => {
                         log::warn!("leases were not written: {e}");
-                        leases.on_write_failed();
+                        leases.on_write_failed(entry.clock.now());
                     }
                 }
             }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -144,6 +144,9 @@
     stale: bool,
     read_at: Duration,
     reads: Backoff,
+    writes: Backoff,
+    /// When the next write may be tried.
+    write_at: Duration,
 }
 
 /// Between two reads at most while the store refuses.
@@ -163,7 +166,15 @@
 /// Lets hosts that hold fewer engines claim first.
 const CLAIM_DELAY_PER_SHARE: Duration = Duration::from_millis(600);
 /// Lets hosts of the engine's own zone claim first.
-const CLAIM_DELAY_FAR: Duration = Duration::from_millis(2_000);
+const CLAIM_DELAY_FAR: Duration = Duration::from_millis(3_000);
+/// Spreads the claims of all hosts: the store writes some 300 transactions a second to a
+/// table, and a burst of more than a second of them makes all of them late.
+const CLAIM_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
+/// Claims that are due so soon go with one that is due, instead of a read and a write of
+/// their own; less than hosts wait for one that comes before them.
+const CLAIM_BATCH: Duration = Duration::from_millis(100);
+/// Between two writes at most that the store refuses or does not answer: well under a lease.
+const WRITE_PAUSE_MAX: Duration = Duration::from_millis(2_000);
 /// Claims in one write, which holds 100 entries at most: a condition and a row for each
 /// claim, as many for the leases that it ends, and the host's own.
 const CLAIMS_MAX: usize = 24;
@@ -198,6 +209,8 @@
             stale: true,
             read_at: Duration::ZERO,
             reads: Backoff::new(REREAD_PAUSE, READ_PAUSE_MAX),
+            writes: Backoff::new(REREAD_PAUSE, WRITE_PAUSE_MAX),
+            write_at: Duration::ZERO,
         }
     }
 
@@ -264,6 +277,7 @@
         now: Duration,
     ) {
         self.on_clock(shown_ms, sent_at, now);
+        self.writes.on_success();
         let settled_at = self.own.map_or(now + SETTLE_TIME, |own| own.settled_at);
         let renew_at = sent_at + self.times.renew;
         self.own = Some(Own { until_ms: write.host.until_ms, renew_at, settled_at });
@@ -278,11 +292,19 @@
         }
     }
 
-    /// Reports that a write was refused or its outcome is not known.
-    pub fn on_write_failed(&mut self) {
+    /// Reports that a row was not as expected, so that nothing was written.
+    pub fn on_conflict(&mut self) {
         self.stale = true;
     }
 
+    /// Reports that the store refused a write or did not answer; the next one follows after
+    /// a while, which grows.
+    pub fn on_write_failed(&mut self, now: Duration) {
+        self.stale = true;
+        // Hosts that failed together do not try together.
+        self.write_at = now + self.writes.on_failure().mul_f64(0.5 + self.lot());
+    }
+
     /// Reports that the table could not be read; it is read again after a while, which
     /// grows while the store refuses.
     pub fn on_read_failed(&mut self, now: Duration, refused: bool) {
@@ -343,6 +365,9 @@
             let read = LeaseNext::Read(self.revision);
             return if first || at <= now { read } else { LeaseNext::Wait(at) };
         }
+        if self.write_at > now {
+            return LeaseNext::Wait(self.write_at);
+        }
         let Some(own) = self.own.filter(|own| own.renew_at > now) else {
             // Alone, so that no other host's claim can make the renewal fail. What a process
             // before this one claimed goes along.
@@ -359,7 +384,8 @@
         if self.read_at + CLAIM_FRESH < now {
             return LeaseNext::Read(self.revision);
         }
-        let due = claims.into_iter().filter(|(_, at)| *at <= now).map(|(engine, _)| engine);
+        let due = claims.into_iter().filter(|(_, at)| *at <= now + CLAIM_BATCH);
+        let due = due.map(|(engine, _)| engine);
         let share = self.share(now);
         let room = share - self.fences.len() % share;
         let due = due.take(room.min(CLAIMS_MAX)).collect();
@@ -412,6 +438,8 @@
         self.free_since
             .retain(|engine, _| free.binary_search_by(|(other, _)| other.cmp(engine)).is_ok());
         let held = CLAIM_DELAY_PER_SHARE * (self.fences.len() / self.share(now)) as u32;
+        let spread = CLAIM_SPREAD_PER_HOST * self.hosts(now).count() as u32;
+        let settled_at = own.settled_at + spread.mul_f64(self.lot());
         let mut times = Vec::with_capacity(free.len());
         for (engine, near) in free {
             let is_own = self.claims.get(&engine).is_some_and(|claim| claim.holder == self.host);
@@ -422,7 +450,7 @@
             let since = *self.free_since.entry(engine.clone()).or_insert(now);
             let ranked = CLAIM_DELAY_PER_RANK * self.rank(&engine, now);
             let far = if near { Duration::ZERO } else { CLAIM_DELAY_FAR };
-            times.push((engine, since.max(own.settled_at) + ranked + held + far));
+            times.push((engine, since.max(settled_at) + ranked + held + far));
         }
         times
     }
@@ -454,6 +482,11 @@
             .filter(move |host| host.zone == self.zone && host.until_ms > earliest_ms)
     }
 
+    /// Returns a number from 0 to 1 that each host draws for itself.
+    fn lot(&self) -> f64 {
+        rendezvous_score("claims", &self.host) as f64 / u64::MAX as f64
+    }
+
     /// Returns the host's share of the zone's engines.
     fn share(&self, now: Duration) -> usize {
         let engines = self.engines.values().filter(|near| **near).count();
