--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -18,12 +18,8 @@
 
 /// Adapter loads under way at one engine, as engines take no more.
 const LOADS_MAX: usize = 4;
-/// Of these, loads from the weight store while it is not crowded.
+/// Of these, loads from the weight store, which slows all engines' loads when it is crowded.
 const FETCHES_MAX: usize = 3;
-/// How much longer than the shortest ones loads from the weight store take from which one
-/// fewer is under way at a time. A crowded store serves no more loads a second, only each of
-/// them later.
-const CROWDED_STORE: f64 = 1.35;
 /// How long an adapter load takes until one was measured.
 const LOAD_TIME: Duration = Duration::from_millis(240);
 /// How long a load of an adapter takes that the engine has held lately.
@@ -52,8 +48,6 @@
 const FIRST_ASK_SHARE: f64 = 0.9;
 /// How much shorter a load is taken to be that was complete when first asked after.
 const LOAD_TIME_DECAY: f64 = 0.95;
-/// Weight of the last load in the smoothed time, as one in so many.
-const LOAD_TIME_SHARE: u32 = 4;
 const DEMAND_ENTRIES_MAX: usize = 4_096;
 /// Requests that may wait at an engine, as a share of its batch: one in so many. More
 /// would wait longer than a load at another engine takes.
@@ -148,8 +142,6 @@
     observe_at: Option<Duration>,
     resume_at: Duration,
     load_time: Duration,
-    /// The shortest that loads from the weight store have taken.
-    shortest_load: Duration,
     /// When the order under way or in doubt was first given.
     given_at: Option<Duration>,
     /// How long orders take until the engine's answer is known.
@@ -180,7 +172,6 @@
             observe_at: Some(Duration::ZERO),
             resume_at: Duration::ZERO,
             load_time: LOAD_TIME,
-            shortest_load: LOAD_TIME,
             given_at: None,
             order_time: ORDER_TIME,
         }
--- a/crates/fleet/src/ledger/choose.rs
+++ b/crates/fleet/src/ledger/choose.rs
@@ -1,8 +1,7 @@
 //! The choice of the next order: which adapter is loaded, and which makes way.
 
 use super::{
-    CROWDED_STORE, EngineLedger, FETCHES_MAX, LOAD_TIMEOUT, LOADS_MAX, ModelState, State,
-    WAITING_PER_S, Wanted,
+    EngineLedger, FETCHES_MAX, LOAD_TIMEOUT, LOADS_MAX, ModelState, State, WAITING_PER_S, Wanted,
 };
 use crate::order::OrderKind;
 use crate::prelude::*;
@@ -34,14 +33,7 @@
             loads += 1;
             fetches += usize::from(!self.recent.contains(id));
         }
-        (loads < LOADS_MAX, loads < LOADS_MAX && fetches < self.fetches_max())
-    }
-
-    /// Returns how many loads from the weight store may be under way here.
-    fn fetches_max(&self) -> usize {
-        let slowed = self.load_time.as_secs_f64() / self.shortest_load.as_secs_f64().max(0.001);
-        let fewer = (slowed / CROWDED_STORE) as usize;
-        FETCHES_MAX.saturating_sub(fewer).max(1)
+        (loads < LOADS_MAX, loads < LOADS_MAX && fetches < FETCHES_MAX)
     }
 
     /// Asks whether a load or unload is complete, by ordering it again.
--- a/crates/fleet/src/ledger/results.rs
+++ b/crates/fleet/src/ledger/results.rs
@@ -1,9 +1,9 @@
 //! What becomes of an order: taken, held already, refused, or in doubt.
 
 use super::{
-    CONFLICT_PAUSE, Doubt, EngineLedger, FIRST_ASK_SHARE, LOAD_TIME_DECAY, LOAD_TIME_SHARE,
-    MODEL_POLL_INTERVAL, ModelState, ORDER_TIME_SHARE, POLL_INTERVAL, Place, RECENT_MAX,
-    REFUSED_PAUSE, RELOAD_TIME, REPEATS_MAX, REPORT_LAG, State, UNKNOWN_FOR,
+    CONFLICT_PAUSE, Doubt, EngineLedger, FIRST_ASK_SHARE, LOAD_TIME_DECAY, MODEL_POLL_INTERVAL,
+    ModelState, ORDER_TIME_SHARE, POLL_INTERVAL, Place, RECENT_MAX, REFUSED_PAUSE, RELOAD_TIME,
+    REPEATS_MAX, REPORT_LAG, State, UNKNOWN_FOR,
 };
 use crate::order::{Order, OrderKind, OrderResult};
 use crate::prelude::*;
@@ -149,10 +149,8 @@
                     self.places.get(&id).map(|place| place.state)
                     && !self.recent.contains(&id)
                 {
-                    let took = now.saturating_sub(since);
-                    self.shortest_load = self.shortest_load.min(took);
                     self.load_time = match asked {
-                        true => (self.load_time * (LOAD_TIME_SHARE - 1) + took) / LOAD_TIME_SHARE,
+                        true => (self.load_time * 7 + now.saturating_sub(since)) / 8,
                         // It may have been complete for a while.
                         false => self.load_time.mul_f64(LOAD_TIME_DECAY),
                     };
