Split leases into rows, claims and the book; leave engines alone whose holder's lease is not known

An engine whose claim names a host without a lease row, as one that can't be read, was taken for free at once; such a lease may last, so it is left alone (test: an_engine_whose_holder_has_no_lease_that_can_be_read_is_left_alone).

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -14,92 +14,17 @@
 //! latest moment that the clock can show and stops early, a successor the earliest and
 //! starts late, so that no host needs a true clock.
 
+mod claims;
+mod rows;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use guavaspread_model::rendezvous_score;
+pub use rows::{Claim, HostLease, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite};
 
 use crate::backoff::Backoff;
 use crate::prelude::*;
 
-/// Sets how long leases last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseTimes {
-    /// From a write of the row to the lease's end.
-    pub lease: Duration,
-    /// Between two writes of the row.
-    pub renew: Duration,
-    /// From the end of a lease to the first order of another holder.
-    pub quarantine: Duration,
-}
-
-/// Holds the lease of an entry host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HostLease {
-    /// The entry host.
-    pub holder: Arc<str>,
-    /// Where it answers its peers.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-    /// What its link carries, in Mbit a second; 0 if that is not known.
-    pub link_mbps: u32,
-    /// The lease's end, in milliseconds of the store's clock; 0 once another host ended it.
-    pub until_ms: u64,
-    /// The row's revision as read; 0 if there is none.
-    pub revision: u64,
-}
-
-/// Names the entry host that may order an engine while its lease lasts.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Claim {
-    /// The engine's id.
-    pub engine: Arc<str>,
-    /// The entry host.
-    pub holder: Arc<str>,
-    /// The row's revision as read; 0 if there is none.
-    pub revision: u64,
-}
-
-/// Holds rows of leases and claims, as the store showed them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct LeaseTable {
-    /// Leases of entry hosts.
-    pub hosts: Vec<HostLease>,
-    /// Claims of engines.
-    pub claims: Vec<Claim>,
-    /// The store's revision at that moment.
-    pub revision: u64,
-    /// The store's clock, in milliseconds.
-    pub shown_ms: u64,
-}
-
-/// Renews a host's lease, claims engines, and ends the leases of those that had them.
-///
-/// All rows are written if each is at the revision given in it, or else none.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseWrite {
-    /// The host's own lease.
-    pub host: HostLease,
-    /// The engines that it claims.
-    pub claims: Vec<Claim>,
-    /// Lapsed leases that it ends.
-    pub ended: Vec<HostLease>,
-    /// Leases that were ended before; only a condition, that the host has no new one.
-    pub ended_before: Vec<HostLease>,
-}
-
-/// Answers what to do next about leases.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LeaseNext {
-    /// Write these rows.
-    Write(LeaseWrite),
-    /// Read what changed behind that revision, or the whole table.
-    Read(Option<u64>),
-    /// Nothing until that moment.
-    Wait(Duration),
-}
-
 #[derive(Clone, Copy, Debug)]
 struct StoreClock {
     /// The clock's value in an answer, in milliseconds.
@@ -159,17 +84,6 @@
 /// From a host's first lease to its first claim of an engine that it did not have: hosts
 /// that start together then share the engines out by what they know of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
-/// Lets hosts that come before this one claim first; a write takes some 10 ms.
-const CLAIM_DELAY_PER_RANK: Duration = Duration::from_millis(150);
-/// Beyond that many hosts the others no longer wait longer.
-const RANK_MAX: u32 = 4;
-/// Lets hosts that hold fewer engines claim first.
-const CLAIM_DELAY_PER_SHARE: Duration = Duration::from_millis(600);
-/// Lets hosts of the engine's own zone claim first.
-const CLAIM_DELAY_FAR: Duration = Duration::from_millis(3_000);
-/// Spreads the claims of all hosts: the store writes some 300 transactions a second to a
-/// table, and a burst of more than a second of them makes all of them late.
-const CLAIM_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
 /// Claims that are due so soon go with one that is due, instead of a read and a write of
 /// their own; less than hosts wait for one that comes before them.
 const CLAIM_BATCH: Duration = Duration::from_millis(100);
@@ -392,16 +306,6 @@
         LeaseNext::Write(self.write(due, now))
     }
 
-    /// Lists engines that a process before this one claimed on the same host.
-    fn claimed_before(&self) -> Vec<Arc<str>> {
-        let mine = self.claims.values().filter(|claim| {
-            claim.holder == self.host
-                && self.engines.contains_key(&claim.engine)
-                && !self.fences.contains_key(&claim.engine)
-        });
-        mine.take(CLAIMS_MAX).map(|claim| claim.engine.clone()).collect()
-    }
-
     fn write(&self, engines: Vec<Arc<str>>, now: Duration) -> LeaseWrite {
         let until_ms = self.latest_ms(now).unwrap_or(0) + self.times.lease.as_millis() as u64;
         let host = HostLease {
@@ -427,86 +331,6 @@
         LeaseWrite { host, claims, ended, ended_before }
     }
 
-    /// Lists the engines that the host may claim, and from when on.
-    fn claim_times(&mut self, own: Own, now: Duration) -> Vec<(Arc<str>, Duration)> {
-        let free: Vec<(Arc<str>, bool)> = self
-            .engines
-            .iter()
-            .filter(|(engine, _)| self.is_free(engine, now))
-            .map(|(engine, near)| (engine.clone(), *near))
-            .collect();
-        self.free_since
-            .retain(|engine, _| free.binary_search_by(|(other, _)| other.cmp(engine)).is_ok());
-        let held = CLAIM_DELAY_PER_SHARE * (self.fences.len() / self.share(now)) as u32;
-        let spread = CLAIM_SPREAD_PER_HOST * self.hosts(now).count() as u32;
-        let settled_at = own.settled_at + spread.mul_f64(self.lot());
-        let mut times = Vec::with_capacity(free.len());
-        for (engine, near) in free {
-            let is_own = self.claims.get(&engine).is_some_and(|claim| claim.holder == self.host);
-            if is_own {
-                times.push((engine, now));
-                continue;
-            }
-            let since = *self.free_since.entry(engine.clone()).or_insert(now);
-            let ranked = CLAIM_DELAY_PER_RANK * self.rank(&engine, now);
-            let far = if near { Duration::ZERO } else { CLAIM_DELAY_FAR };
-            times.push((engine, since.max(settled_at) + ranked + held + far));
-        }
-        times
-    }
-
-    /// Tells whether no host may order an engine any more, and this one has not claimed it.
-    fn is_free(&self, engine: &Arc<str>, now: Duration) -> bool {
-        if self.fences.contains_key(engine) {
-            return false;
-        }
-        let Some(claim) = self.claims.get(engine) else {
-            return true;
-        };
-        if claim.holder == self.host {
-            return true;
-        }
-        if self.heard_at.get(&claim.holder).is_some_and(|at| now < *at + HEARD_FOR) {
-            return false;
-        }
-        let quarantine_ms = self.times.quarantine.as_millis() as u64;
-        let until_ms = self.hosts.get(&claim.holder).map_or(0, |host| host.until_ms);
-        until_ms == 0 || self.earliest_ms(now) >= until_ms + quarantine_ms
-    }
-
-    /// Lists the hosts of the zone whose leases last.
-    fn neighbours(&self, now: Duration) -> impl Iterator<Item = &HostLease> {
-        let earliest_ms = self.earliest_ms(now);
-        self.hosts
-            .values()
-            .filter(move |host| host.zone == self.zone && host.until_ms > earliest_ms)
-    }
-
-    /// Returns a number from 0 to 1 that each host draws for itself.
-    fn lot(&self) -> f64 {
-        rendezvous_score("claims", &self.host) as f64 / u64::MAX as f64
-    }
-
-    /// Returns the host's share of the zone's engines.
-    fn share(&self, now: Duration) -> usize {
-        let engines = self.engines.values().filter(|near| **near).count();
-        engines.div_ceil(self.neighbours(now).count().max(1)).max(1)
-    }
-
-    /// Returns how many hosts of the zone come before this one for an engine.
-    fn rank(&mut self, engine: &Arc<str>, now: Duration) -> u32 {
-        if let Some(rank) = self.ranks.get(engine) {
-            return *rank;
-        }
-        let mine = (rendezvous_score(engine, &self.host), &self.host);
-        let before = self
-            .neighbours(now)
-            .filter(|host| (rendezvous_score(engine, &host.holder), &host.holder) > mine);
-        let rank = before.take(RANK_MAX as usize).count() as u32;
-        self.ranks.insert(engine.clone(), rank);
-        rank
-    }
-
     fn on_clock(&mut self, shown_ms: u64, sent_at: Duration, received_at: Duration) {
         self.clock = Some(StoreClock { shown_ms, sent_at, received_at });
     }
--- /dev/null
+++ b/crates/fleet/src/lease/rows.rs
@@ -0,0 +1,83 @@
+//! Rows of leases and claims, and what to do with them.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+
+/// Sets how long leases last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// From a write of the row to the lease's end.
+    pub lease: Duration,
+    /// Between two writes of the row.
+    pub renew: Duration,
+    /// From the end of a lease to the first order of another holder.
+    pub quarantine: Duration,
+}
+
+/// Holds the lease of an entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostLease {
+    /// The entry host.
+    pub holder: Arc<str>,
+    /// Where it answers its peers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// What its link carries, in Mbit a second; 0 if that is not known.
+    pub link_mbps: u32,
+    /// The lease's end, in milliseconds of the store's clock; 0 once another host ended it.
+    pub until_ms: u64,
+    /// The row's revision as read; 0 if there is none.
+    pub revision: u64,
+}
+
+/// Names the entry host that may order an engine while its lease lasts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The engine's id.
+    pub engine: Arc<str>,
+    /// The entry host.
+    pub holder: Arc<str>,
+    /// The row's revision as read; 0 if there is none.
+    pub revision: u64,
+}
+
+/// Holds rows of leases and claims, as the store showed them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LeaseTable {
+    /// Leases of entry hosts.
+    pub hosts: Vec<HostLease>,
+    /// Claims of engines.
+    pub claims: Vec<Claim>,
+    /// The store's revision at that moment.
+    pub revision: u64,
+    /// The store's clock, in milliseconds.
+    pub shown_ms: u64,
+}
+
+/// Renews a host's lease, claims engines, and ends the leases of those that had them.
+///
+/// All rows are written if each is at the revision given in it, or else none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// The host's own lease.
+    pub host: HostLease,
+    /// The engines that it claims.
+    pub claims: Vec<Claim>,
+    /// Lapsed leases that it ends.
+    pub ended: Vec<HostLease>,
+    /// Leases that were ended before; only a condition, that the host has no new one.
+    pub ended_before: Vec<HostLease>,
+}
+
+/// Answers what to do next about leases.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaseNext {
+    /// Write these rows.
+    Write(LeaseWrite),
+    /// Read what changed behind that revision, or the whole table.
+    Read(Option<u64>),
+    /// Nothing until that moment.
+    Wait(Duration),
+}
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -373,3 +373,24 @@
     assert!(first[4] <= Duration::from_secs(3), "a lease would lapse: {first:?}");
     assert_ne!(first[4], pauses(1)[4]);
 }
+
+#[test]
+fn an_engine_whose_holder_has_no_lease_that_can_be_read_is_left_alone() {
+    let claims = vec![Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7 }];
+    let table = LeaseTable { claims, revision: 8, shown_ms: STORE_OFFSET_MS, hosts: vec![] };
+    let mut book = book_of(0, 1);
+    for tick in 1..1_000u32 {
+        let now = Duration::from_millis(50) * tick;
+        match book.next(now) {
+            LeaseNext::Read(after) => {
+                let changed = after.map_or_else(|| table.clone(), |_| LeaseTable::default());
+                book.on_read(changed, after.is_none(), now, now);
+            }
+            LeaseNext::Write(write) => {
+                assert!(write.claims.is_empty(), "{write:?}");
+                book.on_written(write, 9, STORE_OFFSET_MS, now, now);
+            }
+            LeaseNext::Wait(_) => {}
+        }
+    }
+}
