Bear any end that a lease row names

Cause: found by fuzzing lease rows as the adapter reads them: a spoilt end near the largest number overflowed when the rest between holders was added (a panic in debug builds, an end in the past in release builds, by which a lease that lasts would be taken for lapsed). Change: saturating sums. Test: spoilt_leases_take_nothing_else_with_them (panicked before).

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -260,9 +260,9 @@
     pub fn hosts(&self, now: Duration) -> impl Iterator<Item = &HostLease> {
         let earliest_ms = self.earliest_ms(now);
         let kept_ms = SEEN_FOR.as_millis() as u64;
-        self.hosts
-            .values()
-            .filter(move |host| host.until_ms > 0 && host.until_ms + kept_ms > earliest_ms)
+        self.hosts.values().filter(move |host| {
+            host.until_ms > 0 && host.until_ms.saturating_add(kept_ms) > earliest_ms
+        })
     }
 
     /// Lists the engines that the host may order.
--- a/crates/fleet/src/lease/claims.rs
+++ b/crates/fleet/src/lease/claims.rs
@@ -79,7 +79,7 @@
             return false;
         };
         let quarantine_ms = self.times.quarantine.as_millis() as u64;
-        *until_ms == 0 || self.earliest_ms(now) >= until_ms + quarantine_ms
+        *until_ms == 0 || self.earliest_ms(now) >= until_ms.saturating_add(quarantine_ms)
     }
 
     /// Lists the hosts of the zone whose leases last.
