--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 
 use guavaspread_fleet::{
-    AdapterId, Attempts, Ended, Outcome, Pick, PlacementKey, RequestClass, Route, Server, Verdict,
+    AdapterId, Attempts, Ended, Outcome, Pick, PlacementKey, Route, Server, Verdict,
 };
 use guavaspread_model::Refusal;
 use http::{Request, Response, header, request};
@@ -271,7 +271,7 @@
         }
         if status.is_server_error() {
             self.entry.placement.borrow_mut().on_failed(key, now);
-            if self.route.class == RequestClass::Safe {
+            if self.route.is_repeatable() {
                 record.failed(Outcome::Unknown, format!("the server failed with {status}"));
                 return Attempt::Failed(Outcome::Unknown, Some(Box::new(answered)));
             }
--- a/crates/entry/src/relays.rs
+++ b/crates/entry/src/relays.rs
@@ -95,10 +95,18 @@
     pub(crate) fn on_read(&self, entry: &Entry, feed: Feed, listing: &Listing, whole: bool) {
         let now = entry.clock.now();
         self.heard(feed).read_at.set(Some(now));
-        if listing.updates.is_empty() || !self.has_followers() {
+        if !self.has_followers() {
+            // Who follows next gets the whole list first.
+            self.passed_on.borrow_mut().reset(std::iter::empty(), now);
             return;
         }
-        let updates = if whole { listing.updates.clone() } else { self.news_of(listing, now) };
+        if listing.updates.is_empty() {
+            return;
+        }
+        let updates = match whole {
+            true => self.all_of(feed, listing, now),
+            false => self.news_of(listing, now),
+        };
         // Without rows it still tells up to which revision they know the list.
         let listing = Some((feed, Listing { updates, revision: listing.revision }));
         let news = News { listing, whole, ages_ms: self.ages(now) };
@@ -106,6 +114,18 @@
         let _ = self.news.send(frame(&FromOwner::News(news)));
     }
 
+    /// Returns all rows of a whole list.
+    fn all_of(&self, feed: Feed, listing: &Listing, now: Duration) -> Vec<Update> {
+        if feed == Feed::Servers {
+            let servers = listing.updates.iter().filter_map(|update| match update {
+                Update::Server { server, .. } => Some(&**server),
+                _ => None,
+            });
+            self.passed_on.borrow_mut().reset(servers, now);
+        }
+        listing.updates.clone()
+    }
+
     /// Returns the rows that followers need to hear of.
     fn news_of(&self, listing: &Listing, now: Duration) -> Vec<Update> {
         let mut passed_on = self.passed_on.borrow_mut();
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -141,9 +141,10 @@
         self.entries.values().map(|entry| &entry.server)
     }
 
-    /// Lists the servers with the revisions of their rows.
+    /// Lists the servers whose rows were last seen, with the revisions of these.
     pub fn rows(&self) -> impl Iterator<Item = (&Arc<Server>, u64)> {
-        self.entries.values().map(|entry| (&entry.server, entry.revision))
+        let seen = self.entries.values().filter(|entry| entry.lapses_at.is_none());
+        seen.map(|entry| (&entry.server, entry.revision))
     }
 
     /// Reports that the store could not be read.
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -115,6 +115,12 @@
         true
     }
 
+    /// Takes over that the whole list is passed on, or that nobody follows any more, with no
+    /// server.
+    pub fn reset<'a>(&mut self, servers: impl Iterator<Item = &'a Server>, now: Duration) {
+        self.servers = servers.map(|server| (server.id.clone(), (server.clone(), now))).collect();
+    }
+
     /// Takes over that a server is gone.
     pub fn on_gone(&mut self, id: &str) {
         self.servers.remove(id);
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -81,3 +81,17 @@
     roster.on_back(ms(1_300));
     assert!(matches!(roster.remove("a", 9, ms(1_400)), Some(RosterChange::Gone(_))));
 }
+
+/// A host that follows this one would keep such a server for good.
+#[test]
+fn a_server_that_is_only_kept_for_a_while_is_not_passed_on() {
+    let mut roster = Roster::default();
+    roster.upsert(server("a"), 1);
+    roster.on_away(ms(0));
+    roster.on_back(ms(1_000));
+    assert_eq!(roster.remove("a", 2, ms(1_100)), None);
+    assert!(roster.get("a").is_some());
+    assert_eq!(roster.rows().count(), 0);
+    roster.upsert(server("a"), 3);
+    assert_eq!(roster.rows().count(), 1);
+}
--- a/crates/fleet/tests/watch.rs
+++ b/crates/fleet/tests/watch.rs
@@ -153,3 +153,15 @@
     passed_on.on_gone("a");
     assert!(passed_on.is_news(&switched, ms(2_400)));
 }
+
+/// The pattern of a store that comes back with a list from which living servers are missing.
+#[test]
+fn followers_hear_of_a_server_that_was_missing_from_a_whole_list() {
+    let ms = Duration::from_millis;
+    let mut passed_on = PassedOn::default();
+    assert!(passed_on.is_news(&holding("a1"), ms(0)));
+    let other = Server { id: "b".into(), ..holding("a1") };
+    passed_on.reset([&other].into_iter(), ms(1_000));
+    assert!(!passed_on.is_news(&other, ms(1_100)));
+    assert!(passed_on.is_news(&holding("a1"), ms(1_200)));
+}
