Try: leave no engine while requests break all over

In seconds 16 to 24 answers of all engines are lost or broken; owners leave one engine for another, whose adapters have to be loaded. Change: a host whose own requests break in more than one of five does not heed the breaker.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -32,8 +32,11 @@
 }
 
 impl Kept {
-    /// Tells the owner of the engine's orders how the request ended.
-    pub(crate) fn on_ended(&mut self, ended: Ended) {
+    /// Tells the owner of the engine's orders how the request ended, and counts it here.
+    pub(crate) fn on_ended(&mut self, entry: &Entry, ended: Ended) {
+        if self.here.is_some() || self.at_peer.is_some() {
+            entry.breakage.borrow_mut().on_ended(ended, entry.clock.now());
+        }
         if let Some(here) = &mut self.here {
             here.ended = ended;
         }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -82,7 +82,7 @@
         mut in_flight: InFlight,
     ) -> Self {
         if body.is_end_stream() {
-            in_flight.kept.on_ended(Ended::Whole);
+            in_flight.on_ended(Ended::Whole);
             record.end(status, "whole", false);
         }
         let until = Box::pin(tokio::time::sleep(left));
@@ -90,7 +90,7 @@
     }
 
     fn on_whole(&mut self) {
-        self.in_flight.kept.on_ended(Ended::Whole);
+        self.in_flight.on_ended(Ended::Whole);
         self.record.end(self.status, "whole", false);
     }
 
@@ -107,7 +107,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(e))) => {
-                self.in_flight.kept.on_ended(Ended::Broken);
+                self.in_flight.on_ended(Ended::Broken);
                 self.record.failed(Outcome::Unknown, e.to_string());
                 self.record.end(self.status, "broken-off", false);
                 Poll::Ready(Some(Err(BrokenOff)))
@@ -133,6 +133,10 @@
         entry.placement.borrow_mut().on_sent(key);
         InFlight { entry: entry.clone(), key, kept: Kept::default() }
     }
+
+    fn on_ended(&mut self, ended: Ended) {
+        self.kept.on_ended(&self.entry, ended);
+    }
 }
 
 impl Drop for InFlight {
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -104,7 +104,8 @@
             changed.as_mut().enable();
             let now = entry.clock.now();
             let readiness = owned.ledger.borrow_mut().want(&id, ask.version);
-            if !owned.may_send(readiness, now) {
+            let breaks_all_over = entry.breakage.borrow().is_general(now);
+            if !breaks_all_over && !owned.may_send(readiness, now) {
                 return (Answer::Broken, None);
             }
             match readiness {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -124,7 +124,7 @@
                     (outcome, answered)
                 }
                 Attempt::Broken(outcome) => {
-                    kept.on_ended(Ended::Broken);
+                    kept.on_ended(&self.entry, Ended::Broken);
                     tried.push(server.id.clone());
                     (outcome, None)
                 }
--- a/crates/fleet/src/breaker.rs
+++ b/crates/fleet/src/breaker.rs
@@ -6,6 +6,7 @@
 //! engine's orders is asked before each request and told how it ended, so that it knows
 //! after a few of them, and turns the others away before they are sent.
 
+use guavaspread_placement::Demand;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -23,6 +24,12 @@
 /// request can try.
 const REOPEN_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Half-life of what a host knows of all engines: a host ends some 15 requests in it.
+const BREAKAGE_HALF_LIFE: Duration = Duration::from_millis(1_000);
+/// Share of a host's requests that break from which no engine is left for it: more than two
+/// engines in ten would have to break all they get.
+const GENERAL_SHARE: f64 = 0.2;
+
 /// Tells how a request ended at an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ended {
@@ -83,3 +90,30 @@
         due
     }
 }
+
+/// Follows how many requests break over all engines, as one host sees it.
+///
+/// Where answers of all engines are lost, leaving one for another only costs loads.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Breakage {
+    whole: Demand,
+    broken: Demand,
+}
+
+impl Breakage {
+    /// Reports how a request ended at any engine.
+    pub fn on_ended(&mut self, ended: Ended, now: Duration) {
+        match ended {
+            Ended::Whole => self.whole.add(now, BREAKAGE_HALF_LIFE, 1.0),
+            Ended::Broken => self.broken.add(now, BREAKAGE_HALF_LIFE, 1.0),
+            Ended::Open => {}
+        }
+    }
+
+    /// Tells whether requests break in so many places that no engine is better than another.
+    pub fn is_general(&self, now: Duration) -> bool {
+        let broken = self.broken.count(now, BREAKAGE_HALF_LIFE);
+        let whole = self.whole.count(now, BREAKAGE_HALF_LIFE);
+        broken > (broken + whole) * GENERAL_SHARE
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use attempts::{Attempts, Outcome, Verdict};
 pub use backoff::Backoff;
-pub use breaker::{Breaker, Ended};
+pub use breaker::{Breakage, Breaker, Ended};
 pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
 pub use grants::{Grant, Grants};
 pub use lease::{Claim, HostLease, LeaseBook, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite};
--- a/crates/fleet/tests/breaker.rs
+++ b/crates/fleet/tests/breaker.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use guavaspread_fleet::{Breaker, Ended};
+use guavaspread_fleet::{Breakage, Breaker, Ended};
 use test_case::test_case;
 
 fn at(ms: u64) -> Duration {
@@ -96,3 +96,15 @@
         assert_eq!(breaker.is_closed(at(1_010 + number * 50)), number < 2, "request {number}");
     }
 }
+
+/// The pattern of answers that are lost on the way, whichever engine made them.
+#[test_case(4, true; "four in ten")]
+#[test_case(1, false; "one in ten")]
+fn requests_that_break_all_over_say_nothing_of_an_engine(in_ten: u64, is_general: bool) {
+    let mut breakage = Breakage::default();
+    for number in 0..200 {
+        let ended = if number % 10 < in_ten { Ended::Broken } else { Ended::Whole };
+        breakage.on_ended(ended, at(number * 50));
+    }
+    assert_eq!(breakage.is_general(at(10_000)), is_general);
+}
