--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -5,7 +5,7 @@
 //! what was granted last and what the list of servers shows decide: engines refuse what
 //! they do not hold.
 
-use guavaspread_fleet::{AdapterId, Ended, Grant, LoadReport, PlacementKey, Server};
+use guavaspread_fleet::{AdapterId, Grant, LoadReport, PlacementKey, Server};
 
 use crate::message::{Answer, Ask};
 use crate::orders::Use;
@@ -27,23 +27,8 @@
 /// Keeps an adapter on its engine until the request ends.
 #[derive(Default)]
 pub(crate) struct Kept {
-    here: Option<Use>,
-    at_peer: Option<Granted>,
-}
-
-impl Kept {
-    /// Tells the owner of the engine's orders how the request ended, and counts it here.
-    pub(crate) fn on_ended(&mut self, entry: &Entry, ended: Ended) {
-        if self.here.is_some() || self.at_peer.is_some() {
-            entry.breakage.borrow_mut().on_ended(ended, entry.clock.now());
-        }
-        if let Some(here) = &mut self.here {
-            here.ended = ended;
-        }
-        if let Some(granted) = &mut self.at_peer {
-            granted.ended = ended;
-        }
-    }
+    _here: Option<Use>,
+    _at_peer: Option<Granted>,
 }
 
 /// Tells whether a server may be sent the request.
@@ -92,9 +77,7 @@
             entry.grants.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
             Access::Granted(Some(version), kept)
         }
-        Some((Answer::Loading | Answer::NotYet | Answer::Impossible | Answer::Broken, _)) => {
-            Access::Denied
-        }
+        Some((Answer::Loading | Answer::NotYet | Answer::Impossible, _)) => Access::Denied,
         Some((Answer::NotOwner, _)) | None if missed => Access::Denied,
         Some((Answer::NotOwner, _)) | None => remembered(entry, server, id, version_min),
     }
@@ -117,7 +100,7 @@
     let (holder, address) = owner?;
     if holder == entry.holder {
         let (answer, here) = entry.orders.answer(entry, &ask, || ()).await;
-        return Some((answer, Kept { here, at_peer: None }));
+        return Some((answer, Kept { _here: here, _at_peer: None }));
     }
     let (answer, at_peer) = entry.peers.ask(address, ask, entry.clock).await?;
     if answer == Answer::NotOwner {
@@ -126,7 +109,7 @@
     } else {
         entry.leases.borrow_mut().on_heard(&holder, entry.clock.now());
     }
-    Some((answer, Kept { here: None, at_peer }))
+    Some((answer, Kept { _here: None, _at_peer: at_peer }))
 }
 
 /// Goes by the last grant, or by the list of servers, which lags.
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use guavaspread_fleet::{Ended, Outcome, PlacementKey};
+use guavaspread_fleet::{Outcome, PlacementKey};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use tokio::time::Sleep;
@@ -28,7 +28,7 @@
     until: Pin<Box<Sleep>>,
     status: u16,
     record: Record,
-    in_flight: InFlight,
+    _in_flight: InFlight,
 }
 
 /// Ends a body that must not look complete.
@@ -79,35 +79,28 @@
         left: Duration,
         status: u16,
         mut record: Record,
-        mut in_flight: InFlight,
+        in_flight: InFlight,
     ) -> Self {
         if body.is_end_stream() {
-            in_flight.on_ended(Ended::Whole);
             record.end(status, "whole", false);
         }
         let until = Box::pin(tokio::time::sleep(left));
-        Relayed { body, until, status, record, in_flight }
-    }
-
-    fn on_whole(&mut self) {
-        self.in_flight.on_ended(Ended::Whole);
-        self.record.end(self.status, "whole", false);
+        Relayed { body, until, status, record, _in_flight: in_flight }
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 if self.body.is_end_stream() {
-                    self.on_whole();
+                    self.record.end(self.status, "whole", false);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(None) => {
-                self.on_whole();
+                self.record.end(self.status, "whole", false);
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(e))) => {
-                self.in_flight.on_ended(Ended::Broken);
                 self.record.failed(Outcome::Unknown, e.to_string());
                 self.record.end(self.status, "broken-off", false);
                 Poll::Ready(Some(Err(BrokenOff)))
@@ -133,10 +126,6 @@
         entry.placement.borrow_mut().on_sent(key);
         InFlight { entry: entry.clone(), key, kept: Kept::default() }
     }
-
-    fn on_ended(&mut self, ended: Ended) {
-        self.kept.on_ended(&self.entry, ended);
-    }
 }
 
 impl Drop for InFlight {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,7 +4,6 @@
 //! orders. Messages are postcard in length-delimited frames; several questions may be
 //! open on a connection, told apart by their numbers.
 
-use guavaspread_fleet::Ended;
 use serde::{Deserialize, Serialize};
 
 use crate::border::{Feed, Listing};
@@ -14,8 +13,8 @@
 pub enum ToOwner {
     /// Asks for the use of an adapter.
     Ask(Ask),
-    /// Ends the use granted to the question of that number, and tells how.
-    Done(u32, Ended),
+    /// Ends the use granted to the question of that number.
+    Done(u32),
     /// Asks for all that the host learns from the store.
     Watch,
 }
@@ -82,8 +81,6 @@
     Loading,
     /// It was not loaded in time.
     NotYet,
-    /// The engine breaks off what it is sent.
-    Broken,
     /// The engine can't hold it, or not soon.
     Impossible,
     /// The engine runs as many requests as it can.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -1,6 +1,6 @@
 //! Carries out the orders of the engines that this host owns.
 
-use guavaspread_fleet::{AdapterId, Breaker, Ended, EngineLedger, Readiness, Server, Step};
+use guavaspread_fleet::{AdapterId, EngineLedger, Readiness, Server, Step};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -17,12 +17,10 @@
 
 struct Owned {
     ledger: RefCell<EngineLedger>,
-    breaker: RefCell<Breaker>,
     /// Wakes the engine's task: something is wanted.
     wanted: Notify,
     /// Wakes those that wait for an adapter: the engine answered.
     changed: Notify,
-    engine: Arc<str>,
     born: u64,
 }
 
@@ -59,10 +57,8 @@
             let Some(ledger) = new_ledger(entry, &server) else { continue };
             let owned = Rc::new(Owned {
                 ledger: RefCell::new(ledger),
-                breaker: RefCell::default(),
                 wanted: Notify::new(),
                 changed: Notify::new(),
-                engine: server.id.clone(),
                 born: server.born,
             });
             let task = tokio::task::spawn_local(run_engine(entry.clone(), owned.clone(), server));
@@ -104,13 +100,9 @@
             changed.as_mut().enable();
             let now = entry.clock.now();
             let readiness = owned.ledger.borrow_mut().want(&id, ask.version);
-            let breaks_all_over = entry.breakage.borrow().is_general(now);
-            if !breaks_all_over && !owned.may_send(readiness, now) {
-                return (Answer::Broken, None);
-            }
             match readiness {
                 Readiness::Ready(version) => {
-                    let granted = Use::start(entry.clock, &owned, &id);
+                    let granted = Use::start(&owned, &id);
                     let running = owned.ledger.borrow().running();
                     return (Answer::Granted { version, running }, Some(granted));
                 }
@@ -134,53 +126,21 @@
     }
 }
 
-impl Owned {
-    /// Tells whether the engine is sent requests; one that breaks them off is tried now and
-    /// then with an adapter that it holds.
-    fn may_send(&self, readiness: Readiness, now: Duration) -> bool {
-        let mut breaker = self.breaker.borrow_mut();
-        let is_held = matches!(readiness, Readiness::Ready(_));
-        breaker.is_closed(now) || (is_held && breaker.try_again(now))
-    }
-
-    /// Takes over how a request ended at the engine.
-    fn on_ended(&self, ended: Ended, began: Duration, now: Duration) {
-        let mut breaker = self.breaker.borrow_mut();
-        let was_closed = breaker.is_closed(now);
-        breaker.on_ended(ended, began, now);
-        let is_closed = breaker.is_closed(now);
-        if was_closed != is_closed {
-            let engine = &self.engine;
-            match is_closed {
-                true => log::info!("engine {engine} is sent requests again: it answered one"),
-                false => log::warn!("engine {engine} breaks requests off; others get them"),
-            }
-            self.changed.notify_waiters();
-        }
-    }
-}
-
 /// Keeps an adapter on its engine while a request runs on it.
 pub(crate) struct Use {
-    clock: Clock,
     owned: Rc<Owned>,
     id: AdapterId,
-    began: Duration,
-    /// How the request has ended so far.
-    pub(crate) ended: Ended,
 }
 
 impl Use {
-    fn start(clock: Clock, owned: &Rc<Owned>, id: &AdapterId) -> Self {
+    fn start(owned: &Rc<Owned>, id: &AdapterId) -> Self {
         owned.ledger.borrow_mut().begin(id);
-        let began = clock.now();
-        Use { clock, owned: owned.clone(), id: id.clone(), began, ended: Ended::Open }
+        Use { owned: owned.clone(), id: id.clone() }
     }
 }
 
 impl Drop for Use {
     fn drop(&mut self) {
-        self.owned.on_ended(self.ended, self.began, self.clock.now());
         self.owned.ledger.borrow_mut().end(&self.id);
         self.owned.wanted.notify_one();
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use futures::{SinkExt, StreamExt};
-use guavaspread_fleet::Ended;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -36,7 +35,7 @@
 
 enum Outgoing {
     Ask(Ask, Asker),
-    Done(u32, Ended),
+    Done(u32),
 }
 
 /// Keeps a connection to each peer that was asked.
@@ -50,13 +49,11 @@
 pub(crate) struct Granted {
     link: mpsc::Sender<Outgoing>,
     number: u32,
-    /// How the request has ended so far.
-    pub(crate) ended: Ended,
 }
 
 impl Drop for Granted {
     fn drop(&mut self) {
-        if self.link.try_send(Outgoing::Done(self.number, self.ended)).is_err() {
+        if self.link.try_send(Outgoing::Done(self.number)).is_err() {
             log::debug!("an owner was not told of a request's end; its connection is gone");
         }
     }
@@ -87,10 +84,7 @@
                 }
                 Ok(Some((answer, number))) => {
                     let granted = matches!(answer, Answer::Granted { .. });
-                    return Some((
-                        answer,
-                        granted.then(|| Granted { link, number, ended: Ended::Open }),
-                    ));
+                    return Some((answer, granted.then(|| Granted { link, number })));
                 }
                 Ok(None) => {
                     self.on_silent(address, clock);
@@ -140,7 +134,7 @@
             message = outgoing.recv() => {
                 let message = match message {
                     None => return,
-                    Some(Outgoing::Done(number, ended)) => ToOwner::Done(number, ended),
+                    Some(Outgoing::Done(number)) => ToOwner::Done(number),
                     Some(Outgoing::Ask(mut ask, reply)) => {
                         number = number.wrapping_add(1);
                         ask.number = number;
@@ -167,8 +161,7 @@
                     open.remove(&number);
                 }
                 let unused = unwanted && matches!(answer, Answer::Granted { .. });
-                let done = ToOwner::Done(number, Ended::Open);
-                if unused && framed.send(self::frame(&done)).await.is_err() {
+                if unused && framed.send(self::frame(&ToOwner::Done(number))).await.is_err() {
                     return;
                 }
             }
@@ -229,11 +222,8 @@
                     }
                 });
             }
-            Ok(ToOwner::Done(number, ended)) => {
-                let used = uses.borrow_mut().remove(&number);
-                if let Some(mut used) = used {
-                    used.ended = ended;
-                }
+            Ok(ToOwner::Done(number)) => {
+                uses.borrow_mut().remove(&number);
             }
             Ok(ToOwner::Watch) => {
                 tokio::task::spawn_local(relays::pass_on(entry.clone(), tx.clone()));
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -91,7 +91,6 @@
         roster: RefCell::new(Roster::default()),
         placement: RefCell::new(Placement::new(cfg.zone.clone())),
         grants: RefCell::new(Grants::default()),
-        breakage: RefCell::default(),
         leases: RefCell::new(leases),
         leases_changed: Notify::new(),
         orders: Orders::default(),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -2,9 +2,7 @@
 
 use std::convert::Infallible;
 
-use guavaspread_fleet::{
-    AdapterId, Attempts, Ended, Outcome, Pick, PlacementKey, Route, Server, Verdict,
-};
+use guavaspread_fleet::{AdapterId, Attempts, Outcome, Pick, PlacementKey, Route, Server, Verdict};
 use guavaspread_model::Refusal;
 use http::{Request, Response, header, request};
 use http_body_util::Full;
@@ -67,8 +65,6 @@
 enum Attempt {
     Answered(Box<Answered>, InFlight),
     Failed(Outcome, Option<Box<Answered>>),
-    /// The connection was refused, or ended without an answer.
-    Broken(Outcome),
     /// The same server may be asked again, as after it had dropped an adapter.
     Again,
 }
@@ -90,7 +86,7 @@
                 record.add(Step::NoServer);
                 return self.give_up(failure, &no_server(&attempts), record);
             };
-            let (version, mut kept) = match self.access((key, &server), missed, &mut record).await {
+            let (version, kept) = match self.access((key, &server), missed, &mut record).await {
                 Access::Granted(version, kept) => (version, kept),
                 Access::Full if full + 1 >= FULL_MAX => {
                     return self.give_up(failure, &all_full(&attempts), record);
@@ -123,11 +119,6 @@
                     tried.push(server.id.clone());
                     (outcome, answered)
                 }
-                Attempt::Broken(outcome) => {
-                    kept.on_ended(&self.entry, Ended::Broken);
-                    tried.push(server.id.clone());
-                    (outcome, None)
-                }
             };
             missed = outcome == Outcome::Refused;
             failure = answered.or(failure);
@@ -226,7 +217,7 @@
                 if unreached {
                     placement.on_unreachable(key, now);
                 }
-                return Attempt::Broken(outcome);
+                return Attempt::Failed(outcome, None);
             }
             Err(_) => {
                 record.failed(Outcome::Unknown, "no answer in time".to_owned());
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of an entry host share; all run on one thread.
 
 use guavaspread_fleet::{
-    AdapterId, Breakage, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange, retry_budget,
+    AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange, retry_budget,
     slack_part,
 };
 use guavaspread_placement::RetryBudget;
@@ -39,7 +39,6 @@
     pub(crate) roster: RefCell<Roster>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) grants: RefCell<Grants>,
-    pub(crate) breakage: RefCell<Breakage>,
     pub(crate) leases: RefCell<LeaseBook>,
     pub(crate) leases_changed: Notify,
     pub(crate) orders: Orders,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,14 +14,12 @@
 //! | choose who reads the store for a zone | [`watchers`], [`Hearsay`] |
 //! | remember which engine holds what | [`Grants`] |
 //! | share the budget of repeated sends | [`retry_budget`] |
-//! | leave an engine that breaks requests off | [`Breaker`], [`Ended`] |
 //! | tell a failure that another server may make good | [`Attempts`], [`Verdict`] |
 //!
 //! Times are durations since any fixed moment, the same for all calls to a value.
 
 mod attempts;
 mod backoff;
-mod breaker;
 mod catalog;
 mod grants;
 mod lease;
@@ -35,7 +33,6 @@
 
 pub use attempts::{Attempts, Outcome, Verdict};
 pub use backoff::Backoff;
-pub use breaker::{Breakage, Breaker, Ended};
 pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
 pub use grants::{Grant, Grants};
 pub use lease::{Claim, HostLease, LeaseBook, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite};
