Heed what servers say of themselves: leaving, and wanting nothing for a time

Cause: nothing read Server-Leaving or a server's Retry-After, so a server that leaves was used until its row told, which lags and is away with the store, and one that was pressed was pressed on.

Notices (crates/fleet) keep what each start of a server said, in answers to requests, orders and reports alike; placement leaves such servers out, so that one on hold counts as full capacity gone, an owner denies loads on an engine that leaves and gives one on hold no orders, readiness counts a held server and not a leaving one, and a refusal for want of servers names the time at which the first hold ends. A notice holds for that start alone; rows of an earlier start stay closed.

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -7,7 +7,8 @@
 
 use async_trait::async_trait;
 use guavaspread_fleet::{
-    AdapterId, Catalog, HeldModel, LeaseTable, LeaseWrite, LoadReport, Order, OrderResult, Server,
+    AdapterId, Catalog, HeldModel, LeaseTable, LeaseWrite, LoadReport, Order, OrderResult, Said,
+    Server,
 };
 use http::{HeaderMap, StatusCode, request};
 use serde::{Deserialize, Serialize};
@@ -189,6 +190,8 @@
     pub server: Option<Arc<str>>,
     /// What it says of its load.
     pub load: Option<LoadReport>,
+    /// What else it says of itself.
+    pub said: Said,
 }
 
 impl AnswerHead {
@@ -228,15 +231,19 @@
 /// Gives orders to engines.
 #[async_trait(?Send)]
 pub trait Engines {
-    /// Sends an order.
-    async fn order(&self, server: &Server, order: &Order, holder: &str, fence: u64) -> OrderResult;
+    /// Sends an order; also returns what the engine said of itself.
+    async fn order(
+        &self,
+        server: &Server,
+        order: &Order,
+        holder: &str,
+        fence: u64,
+    ) -> (OrderResult, Said);
 
-    /// Asks an engine what it holds.
+    /// Asks an engine what it holds; also returns what it said of itself.
     ///
-    /// # Errors
-    ///
-    /// Fails with the reason when it does not answer.
-    async fn report(&self, server: &Server) -> Result<EngineReport, String>;
+    /// The result is the reason when it does not answer.
+    async fn report(&self, server: &Server) -> (Result<EngineReport, String>, Said);
 }
 
 /// Holds the borders that an entry host is built on.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -1,6 +1,6 @@
 //! Carries out the orders of the engines that this host owns.
 
-use guavaspread_fleet::{AdapterId, EngineLedger, Readiness, Server, Step};
+use guavaspread_fleet::{AdapterId, EngineLedger, Readiness, Server, Standing, Step};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -99,6 +99,9 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = entry.clock.now();
+            if is_leaving(entry, &ask.engine) {
+                return (Answer::Impossible, None);
+            }
             let readiness = owned.ledger.borrow_mut().want(&id, ask.version);
             match readiness {
                 Readiness::Ready(version) => {
@@ -165,6 +168,12 @@
     }
 }
 
+/// Tells whether an engine is known to leave, also where the host that asks does not know.
+fn is_leaving(entry: &Entry, engine: &str) -> bool {
+    let roster = entry.roster.borrow();
+    roster.get(engine).is_some_and(|server| entry.standing(server) == Standing::Leaving)
+}
+
 /// Makes the ledger of an engine; it is to hold the model that most engines hold.
 fn new_ledger(entry: &Entry, server: &Server) -> Option<EngineLedger> {
     let catalog = entry.catalog.borrow().clone()?;
@@ -189,18 +198,33 @@
             tokio::time::sleep(IDLE_INTERVAL).await;
             continue;
         };
+        match entry.standing(&server) {
+            Standing::Open => {}
+            Standing::HeldUntil(until) => {
+                tokio::time::sleep(until.saturating_sub(now)).await;
+                continue;
+            }
+            Standing::Leaving => {
+                // Whoever waits for a load there is told to go elsewhere.
+                owned.changed.notify_waiters();
+                tokio::time::sleep(IDLE_INTERVAL).await;
+                continue;
+            }
+        }
         let step = owned.ledger.borrow_mut().next(now);
         match step {
             Step::Order(order) => {
                 let engines = &entry.borders.engines;
-                let result = engines.order(&server, &order, &entry.holder, fence).await;
+                let (result, said) = engines.order(&server, &order, &entry.holder, fence).await;
+                entry.on_answer(&server, said);
                 entry.metrics.orders.inc();
                 log::debug!("engine {}: {order:?} -> {result:?}", server.id);
                 owned.ledger.borrow_mut().on_result(result, entry.clock.now());
                 owned.changed.notify_waiters();
             }
             Step::Observe => {
-                let report = entry.borders.engines.report(&server).await;
+                let (report, said) = entry.borders.engines.report(&server).await;
+                entry.on_answer(&server, said);
                 let now = entry.clock.now();
                 let mut ledger = owned.ledger.borrow_mut();
                 match report {
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -5,6 +5,8 @@
 use guavaspread_fleet::Attempts;
 use guavaspread_model::{Code, Refusal};
 
+use crate::prelude::*;
+
 /// When to come back while no server takes work: a server's restart takes seconds.
 const RETRY_NO_SERVER_MS: u32 = 1_000;
 /// When to come back after an adapter was not loaded in time: a load's duration.
@@ -39,11 +41,13 @@
     Refusal::maybe_ran(Code::DeadlinePassed, "no answer came in time")
 }
 
-/// Refuses a request that no server takes.
-pub(crate) fn no_server(attempts: &Attempts) -> Refusal {
+/// Refuses a request that no server takes; `wait` is the time until the first one does that
+/// asked to be left alone.
+pub(crate) fn no_server(attempts: &Attempts, wait: Option<Duration>) -> Refusal {
     if attempts.is_not_run() {
+        let wait_ms = wait.map_or(RETRY_NO_SERVER_MS, |wait| wait.as_millis() as u32 + 1);
         return Refusal::not_run(Code::NoBackend, "no server takes the request now")
-            .retry_after_ms(RETRY_NO_SERVER_MS);
+            .retry_after_ms(wait_ms);
     }
     may_have_run()
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -2,7 +2,9 @@
 
 use std::convert::Infallible;
 
-use guavaspread_fleet::{AdapterId, Attempts, Outcome, Pick, PlacementKey, Route, Server, Verdict};
+use guavaspread_fleet::{
+    AdapterId, Attempts, Outcome, Pick, PlacementKey, Route, Server, Standing, Verdict,
+};
 use guavaspread_model::Refusal;
 use http::{Request, Response, header, request};
 use http_body_util::Full;
@@ -82,9 +84,13 @@
             if self.until < now + LEFT_MIN {
                 return self.give_up(failure, &out_of_time(&attempts), record);
             }
-            let Pick::Server(key, server) = self.pick(&tried, now) else {
-                record.add(Step::NoServer);
-                return self.give_up(failure, &no_server(&attempts), record);
+            let (key, server) = match self.pick(&tried, now) {
+                Pick::Server(key, server) => (key, server),
+                Pick::None(opens_at) => {
+                    record.add(Step::NoServer);
+                    let wait = opens_at.map(|at| at.saturating_sub(now));
+                    return self.give_up(failure, &no_server(&attempts, wait), record);
+                }
             };
             let (version, kept) = match self.access((key, &server), missed, &mut record).await {
                 Access::Granted(version, kept) => (version, kept),
@@ -129,7 +135,7 @@
             match verdict {
                 Verdict::TryNext => {}
                 Verdict::NotRun | Verdict::MayHaveRun => {
-                    return self.give_up(failure, &no_server(&attempts), record);
+                    return self.give_up(failure, &no_server(&attempts, None), record);
                 }
             }
         }
@@ -152,7 +158,8 @@
 
     fn is_ready(&self, server: &Server) -> bool {
         let roster = self.entry.roster.borrow();
-        roster.get(&server.id).is_some_and(|now| now.is_ready() && now.born == server.born)
+        let known = roster.get(&server.id).filter(|known| known.born == server.born);
+        known.is_some_and(|known| self.entry.standing(known) == Standing::Open)
     }
 
     fn adapter(&self) -> Option<AdapterId> {
@@ -229,6 +236,7 @@
         let status = answered.head.status;
         record.add(Step::Answered { status: status.as_u16(), took_ms: took.as_millis() as u64 });
         let answer = self.entry.borders.dialect.answer(status, &answered.head.headers);
+        self.entry.on_answer(server, answer.said);
         if let Some(load) = answer.load {
             self.entry.placement.borrow_mut().on_report(key, load, now);
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,8 +1,8 @@
 //! What the tasks of an entry host share; all run on one thread.
 
 use guavaspread_fleet::{
-    AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange, retry_budget,
-    slack_part,
+    AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange, Said, Server, Standing,
+    retry_budget, slack_part,
 };
 use guavaspread_placement::RetryBudget;
 use tokio::sync::{Notify, watch};
@@ -59,8 +59,7 @@
 
     /// Tells whether there is a configuration and a server to route to.
     pub(crate) fn knows_servers(&self) -> bool {
-        self.catalog.borrow().is_some()
-            && self.roster.borrow().servers().any(|server| server.is_ready())
+        self.catalog.borrow().is_some() && self.placement.borrow().serves_any(self.clock.now())
     }
 
     /// Takes over a newer configuration; an older one is ignored.
@@ -117,6 +116,18 @@
         }
     }
 
+    /// Takes over what a server said of itself in an answer.
+    pub(crate) fn on_answer(&self, server: &Server, said: Said) {
+        if self.placement.borrow_mut().on_answer(server, said, self.clock.now()) {
+            log::info!("server {} says of itself: {said:?}", server.id);
+        }
+    }
+
+    /// Tells whether a server takes requests of this host.
+    pub(crate) fn standing(&self, server: &Server) -> Standing {
+        self.placement.borrow().standing(server, self.clock.now())
+    }
+
     /// Tells the lease book which engines there are.
     pub(crate) fn sync_engines(self: &Rc<Self>) {
         let Some(catalog) = self.catalog.borrow().clone() else { return };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! | find the route of a request | [`Catalog`], [`Route`] |
 //! | follow the backend servers | [`Roster`], [`Server`] |
 //! | choose a server | [`Placement`], [`Pick`] |
+//! | heed what servers say of themselves | [`Notices`], [`Standing`] |
 //! | decide which orders an engine gets | [`EngineLedger`], [`Step`] |
 //! | own an engine's orders | [`LeaseBook`], [`LeaseNext`] |
 //! | choose who reads the store for a zone | [`watchers`], [`Hearsay`] |
@@ -24,6 +25,7 @@
 mod grants;
 mod lease;
 mod ledger;
+mod notices;
 mod order;
 mod placement;
 mod prelude;
@@ -37,6 +39,7 @@
 pub use grants::{Grant, Grants};
 pub use lease::{Claim, HostLease, LeaseBook, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite};
 pub use ledger::EngineLedger;
+pub use notices::{Notices, Said, Standing};
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -12,6 +12,7 @@
 use guavaspread_placement::{Demand, DemandMap};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::notices::{Notices, Said, Standing};
 use crate::prelude::*;
 use crate::roster::{AdapterId, Server};
 
@@ -68,8 +69,8 @@
 pub enum Pick {
     /// This one.
     Server(PlacementKey, Arc<Server>),
-    /// No server of the service takes work.
-    None,
+    /// No server of the service takes work; the first that is held up does from that moment.
+    None(Option<Duration>),
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +111,7 @@
     zone: Arc<str>,
     candidates: SlotMap<PlacementKey, Candidate>,
     by_id: HashMap<Arc<str>, PlacementKey>,
+    notices: Notices,
     demand: DemandMap<AdapterId>,
     total: Demand,
     turn: Cell<usize>,
@@ -122,6 +124,7 @@
             zone,
             candidates: SlotMap::with_key(),
             by_id: HashMap::new(),
+            notices: Notices::default(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             total: Demand::default(),
             turn: Cell::new(0),
@@ -160,9 +163,23 @@
         }
     }
 
-    /// Tells whether a server of the service takes work.
-    pub fn serves(&self, service: &str) -> bool {
-        self.candidates.values().any(|c| &*c.server.service == service && c.server.is_ready())
+    /// Takes over what a server said of itself in an answer; tells whether that is news.
+    pub fn on_answer(&mut self, server: &Server, said: Said, now: Duration) -> bool {
+        self.notices.on_answer(server, said, now)
+    }
+
+    /// Tells whether a server takes requests of this host.
+    pub fn standing(&self, server: &Server, now: Duration) -> Standing {
+        match server.is_ready() {
+            true => self.notices.standing(server, now),
+            false => Standing::Leaving,
+        }
+    }
+
+    /// Tells whether any server takes requests of this host, now or once it is no longer
+    /// held up.
+    pub fn serves_any(&self, now: Duration) -> bool {
+        self.candidates.values().any(|c| self.standing(&c.server, now) != Standing::Leaving)
     }
 
     /// Counts a request for an adapter.
@@ -177,7 +194,7 @@
             let far = if c.server.zone == self.zone { 0.0 } else { ZONE_COST };
             c.cost(now) + far
         };
-        self.cheapest(self.open(service, tried, now), cost)
+        self.cheapest(self.open(service, tried, now), cost, service, now)
     }
 
     /// Chooses an engine for a request on a model alone.
@@ -191,7 +208,8 @@
         let open = self.open(service, tried, now);
         let holders =
             open.iter().copied().filter(|key| self.holds(*key, model)).collect::<Vec<_>>();
-        self.cheapest(if holders.is_empty() { open } else { holders }, |c| c.cost(now))
+        let open = if holders.is_empty() { open } else { holders };
+        self.cheapest(open, |c| c.cost(now), service, now)
     }
 
     /// Chooses an engine for a request on an adapter with a prompt of `tokens`.
@@ -222,7 +240,7 @@
             count += LONG_PROMPT_CHOICES;
         }
         open.truncate(count);
-        self.cheapest(open, |c| c.cost(now))
+        self.cheapest(open, |c| c.cost(now), service, now)
     }
 
     /// Reports that a server was sent a request.
@@ -297,7 +315,8 @@
         let open: Vec<PlacementKey> = self
             .candidates
             .iter()
-            .filter(|(_, c)| &*c.server.service == service && c.server.is_ready())
+            .filter(|(_, c)| &*c.server.service == service)
+            .filter(|(_, c)| self.standing(&c.server, now) == Standing::Open)
             .filter(|(_, c)| !tried.contains(&c.server.id))
             .map(|(key, _)| key)
             .collect();
@@ -308,13 +327,34 @@
     }
 
     /// Picks the cheapest; of those that cost the same, each in turn.
-    fn cheapest(&self, mut keys: Vec<PlacementKey>, cost: impl Fn(&Candidate) -> f64) -> Pick {
+    fn cheapest(
+        &self,
+        mut keys: Vec<PlacementKey>,
+        cost: impl Fn(&Candidate) -> f64,
+        service: &str,
+        now: Duration,
+    ) -> Pick {
         let turn = self.turn.get();
         self.turn.set(turn.wrapping_add(1));
         let count = keys.len().max(1);
         keys.rotate_left(turn % count);
         let candidates = keys.into_iter().filter_map(|key| Some((key, self.candidates.get(key)?)));
         let best = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
-        best.map_or(Pick::None, |(key, c)| Pick::Server(key, c.server.clone()))
+        match best {
+            Some((key, c)) => Pick::Server(key, c.server.clone()),
+            None => Pick::None(self.opens_at(service, now)),
+        }
+    }
+
+    /// Returns when the first server of the service takes requests that is held up now.
+    fn opens_at(&self, service: &str, now: Duration) -> Option<Duration> {
+        let servers = self.candidates.values().map(|c| &c.server);
+        let held = servers.filter(|server| &*server.service == service).filter_map(|server| {
+            match self.standing(server, now) {
+                Standing::HeldUntil(until) => Some(until),
+                Standing::Open | Standing::Leaving => None,
+            }
+        });
+        held.min()
     }
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -43,7 +43,7 @@
 fn picked(pick: Pick) -> (PlacementKey, Arc<str>) {
     match pick {
         Pick::Server(key, server) => (key, server.id.clone()),
-        Pick::None => panic!("no server"),
+        Pick::None(_) => panic!("no server"),
     }
 }
 
@@ -147,7 +147,7 @@
     let mut placement = placement(1);
     let state = ServerState::Draining { remaining: None };
     placement.upsert(Arc::new(Server { state, ..server("i-0", "north") }));
-    assert_eq!(placement.pick_plain("drafter", &[], NOW), Pick::None);
+    assert_eq!(placement.pick_plain("drafter", &[], NOW), Pick::None(None));
 }
 
 /// The pattern of a shift of popularity: several rising adapters have the same first engine.
