Read prompts in turn, keep adapters where they are, and refuse loads that come too late

Two killed engines were given one order in doubt 16,000 times, without a pause, while requests for them waited.

Now the owner of an engine's orders lets its prompts be read in turn (ReadingOrder): one after another, small ones together, first those whose time runs out first; who is late yields for a second. An engine that holds an adapter goes before one that would fetch it; before a fetch the two engines next in order are asked what they have at hand; a load that comes too late is refused at once with the time at which it is there, and done for those that come back. A refused order in doubt has its pause, and an engine that refuses orders takes no loads for 0.9 s.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -5,7 +5,7 @@
 //! what was granted last and what the list of servers shows decide: engines refuse what
 //! they do not hold.
 
-use guavaspread_fleet::{AdapterId, Grant, LoadReport, PlacementKey, Server};
+use guavaspread_fleet::{AdapterId, Grant, LoadReport, PlacementKey, Prompt, Server};
 
 use crate::message::{Answer, Ask};
 use crate::orders::Use;
@@ -27,8 +27,34 @@
 /// Keeps an adapter on its engine until the request ends.
 #[derive(Default)]
 pub(crate) struct Kept {
-    _here: Option<Use>,
-    _at_peer: Option<Granted>,
+    here: Option<Use>,
+    at_peer: Option<Granted>,
+}
+
+impl Kept {
+    /// Reports that the request's first token has come.
+    pub(crate) fn on_read(&self, now: Duration) {
+        if let Some(here) = &self.here {
+            here.on_read(now);
+        }
+        if let Some(at_peer) = &self.at_peer {
+            at_peer.on_read();
+        }
+    }
+}
+
+/// Says what is asked of an engine.
+pub(crate) struct Want<'a> {
+    /// The adapter.
+    pub(crate) id: &'a AdapterId,
+    /// The request's prompt.
+    pub(crate) prompt: Prompt,
+    /// Whether the engine refused the request just now.
+    pub(crate) missed: bool,
+    /// Whether the engine may fetch the adapter from the weight store.
+    pub(crate) may_fetch: bool,
+    /// When the request is given up.
+    pub(crate) until: Duration,
 }
 
 /// Tells whether a server may be sent the request.
@@ -37,6 +63,10 @@
     Granted(Option<u64>, Kept),
     /// It may not.
     Denied,
+    /// It would have to fetch the adapter from the weight store.
+    Absent,
+    /// It fetches the adapter, but not in time for this request: it may come back then.
+    NotSoon(Duration),
     /// It has as many requests as it can run.
     Full,
     /// It knows no such adapter.
@@ -47,11 +77,10 @@
 pub(crate) async fn request(
     entry: &Rc<Entry>,
     (key, server): (PlacementKey, &Arc<Server>),
-    id: &AdapterId,
-    missed: bool,
-    until: Duration,
+    want: Want<'_>,
 ) -> Access {
     let now = entry.clock.now();
+    let Want { id, prompt, missed, may_fetch, until } = want;
     let (newest, version_min) = versions(entry, id, now);
     let left = until.saturating_sub(now + RUN_RESERVE).min(LOAD_WAIT);
     let ask = Ask {
@@ -62,6 +91,10 @@
         version: newest,
         wait_ms: left.as_millis() as u32,
         missed,
+        may_fetch,
+        tokens: prompt.tokens,
+        due_ms: prompt.due.saturating_sub(now).as_millis() as u32,
+        pause_ms: prompt.pause.unwrap_or_default().as_millis() as u32,
     };
     let answer = ask_owner(entry, server, ask).await;
     if let Some((Answer::Granted { running, .. } | Answer::Full { running }, _)) = answer {
@@ -71,6 +104,8 @@
     match answer {
         Some((Answer::Full { .. }, _)) => Access::Full,
         Some((Answer::Unknown, _)) => Access::Unknown,
+        Some((Answer::Absent, _)) => Access::Absent,
+        Some((Answer::NotSoon(ms), _)) => Access::NotSoon(Duration::from_millis(ms.into())),
         Some((Answer::Granted { version, .. }, kept)) => {
             let now = entry.clock.now();
             let grant = Grant { version, until: now + GRANT_KEPT_FOR };
@@ -100,7 +135,7 @@
     let (holder, address) = owner?;
     if holder == entry.holder {
         let (answer, here) = entry.orders.answer(entry, &ask, || ()).await;
-        return Some((answer, Kept { _here: here, _at_peer: None }));
+        return Some((answer, Kept { here, at_peer: None }));
     }
     let (answer, at_peer) = entry.peers.ask(address, ask, entry.clock).await?;
     if answer == Answer::NotOwner {
@@ -109,7 +144,7 @@
     } else {
         entry.leases.borrow_mut().on_heard(&holder, entry.clock.now());
     }
-    Some((answer, Kept { _here: None, _at_peer: at_peer }))
+    Some((answer, Kept { here: None, at_peer }))
 }
 
 /// Goes by the last grant, or by the list of servers, which lags.
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -56,6 +56,7 @@
     record.service = service.clone();
     let patience = asked.patience.unwrap_or(route.timeout).min(route.timeout);
     let until = record.started() + patience;
+    let due = record.started() + route.latency_objective;
     let left = until.saturating_sub(entry.clock.now());
     let reading = Limited::new(body, catalog.limits.body_bytes).collect();
     let body = match tokio::time::timeout(left, reading).await {
@@ -67,7 +68,7 @@
         Err(_) => return Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
     };
     entry.on_request(&service);
-    Ok(Call { entry: entry.clone(), route, service, asked, head, body, until })
+    Ok(Call { entry: entry.clone(), route, service, asked, head, body, due, until })
 }
 
 fn host_of(head: &request::Parts) -> Option<String> {
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -13,6 +13,9 @@
 pub enum ToOwner {
     /// Asks for the use of an adapter.
     Ask(Ask),
+    /// Says that the first token has come of the request that the question of that number was
+    /// for.
+    Read(u32),
     /// Ends the use granted to the question of that number.
     Done(u32),
     /// Asks for all that the host learns from the store.
@@ -56,6 +59,14 @@
     pub wait_ms: u32,
     /// Whether the engine refused a request for it just now.
     pub missed: bool,
+    /// Whether the adapter may be fetched from the weight store.
+    pub may_fetch: bool,
+    /// The tokens of the request's prompt.
+    pub tokens: u32,
+    /// The time until its first token should come, in milliseconds.
+    pub due_ms: u32,
+    /// The longest pause between its events, in milliseconds; 0 if there is no bound.
+    pub pause_ms: u32,
 }
 
 /// Answers an [`Ask`].
@@ -81,6 +92,10 @@
     Loading,
     /// It was not loaded in time.
     NotYet,
+    /// It would have to be fetched from the weight store.
+    Absent,
+    /// It will be loaded, in about so many milliseconds: too late for this request.
+    NotSoon(u32),
     /// The engine can't hold it, or not soon.
     Impossible,
     /// The engine runs as many requests as it can.
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -1,6 +1,9 @@
 //! Carries out the orders of the engines that this host owns.
 
-use guavaspread_fleet::{AdapterId, EngineLedger, Readiness, Server, Standing, Step};
+use guavaspread_fleet::{
+    AdapterId, EngineLedger, Prompt, PromptKey, Readiness, ReadingOrder, Server, Standing, Step,
+    Turn,
+};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -15,12 +18,20 @@
 /// host that stands still is to be told from a load that takes longer.
 const WAIT_BEAT: Duration = Duration::from_millis(150);
 
+/// How long an adapter is still loaded for callers that were told to come back, beyond the
+/// time they were told.
+const RETURN_MARGIN: Duration = Duration::from_millis(1_500);
+
 struct Owned {
     ledger: RefCell<EngineLedger>,
     /// Wakes the engine's task: something is wanted.
     wanted: Notify,
     /// Wakes those that wait for an adapter: the engine answered.
     changed: Notify,
+    /// In which order its prompts are read.
+    reading: RefCell<ReadingOrder>,
+    /// Wakes those that wait for their turn.
+    turns: Notify,
     born: u64,
 }
 
@@ -59,6 +70,8 @@
                 ledger: RefCell::new(ledger),
                 wanted: Notify::new(),
                 changed: Notify::new(),
+                reading: RefCell::default(),
+                turns: Notify::new(),
                 born: server.born,
             });
             let task = tokio::task::spawn_local(run_engine(entry.clone(), owned.clone(), server));
@@ -92,7 +105,10 @@
         if ask.missed {
             owned.ledger.borrow_mut().on_missing(entry.clock.now());
         }
-        let _waiter = Waiter::start(&owned, &id, entry.clock.now());
+        if !ask.may_fetch && !owned.ledger.borrow().has_or_fetches(&id) {
+            return (Answer::Absent, None);
+        }
+        let _waiter = Waiter::start(entry, &owned, &id);
         let mut told_at: Option<Duration> = None;
         loop {
             let changed = owned.changed.notified();
@@ -102,12 +118,15 @@
             if is_leaving(entry, &ask.engine) {
                 return (Answer::Impossible, None);
             }
-            let readiness = owned.ledger.borrow_mut().want(&id, ask.version);
+            let readiness = owned.ledger.borrow_mut().want(&id, ask.version, now);
             match readiness {
                 Readiness::Ready(version) => {
-                    let granted = Use::start(&owned, &id);
+                    let used = Use::start(&owned, &id, prompt_of(ask, now));
+                    if !await_turn(entry, &used, until, &on_wait).await {
+                        return (Answer::NotYet, None);
+                    }
                     let running = owned.ledger.borrow().running();
-                    return (Answer::Granted { version, running }, Some(granted));
+                    return (Answer::Granted { version, running }, Some(used));
                 }
                 Readiness::Full => {
                     let running = owned.ledger.borrow().running();
@@ -115,8 +134,13 @@
                 }
                 Readiness::Impossible | Readiness::InUse => return (Answer::Impossible, None),
                 Readiness::Unknown => return (Answer::Unknown, None),
-                Readiness::Loading if now >= until => return (Answer::NotYet, None),
-                Readiness::Loading => owned.wanted.notify_one(),
+                Readiness::Loading(_) if now >= until => return (Answer::NotYet, None),
+                Readiness::Loading(wait) if now + wait > until => {
+                    owned.ledger.borrow_mut().keep_wanted(&id, now + wait + RETURN_MARGIN);
+                    owned.wanted.notify_one();
+                    return (Answer::NotSoon(wait.as_millis() as u32), None);
+                }
+                Readiness::Loading(_) => owned.wanted.notify_one(),
             }
             if told_at.is_none_or(|at| now >= at + WAIT_BEAT) {
                 told_at = Some(now);
@@ -129,23 +153,68 @@
     }
 }
 
+fn prompt_of(ask: &Ask, now: Duration) -> Prompt {
+    let pause = (ask.pause_ms > 0).then(|| Duration::from_millis(ask.pause_ms.into()));
+    Prompt { tokens: ask.tokens, due: now + Duration::from_millis(ask.due_ms.into()), pause }
+}
+
+/// Waits until the engine may read the prompt; tells whether it may.
+async fn await_turn(entry: &Entry, used: &Use, until: Duration, on_wait: impl Fn()) -> bool {
+    let owned = &used.owned;
+    let mut told_at: Option<Duration> = None;
+    loop {
+        let turns = owned.turns.notified();
+        tokio::pin!(turns);
+        turns.as_mut().enable();
+        let now = entry.clock.now();
+        let at = match owned.reading.borrow_mut().turn(used.prompt, now) {
+            Turn::Now => {
+                // The next one may be read beside it.
+                owned.turns.notify_waiters();
+                return true;
+            }
+            Turn::WaitUntil(at) => at,
+        };
+        if now >= until {
+            return false;
+        }
+        if told_at.is_none_or(|at| now >= at + WAIT_BEAT) {
+            told_at = Some(now);
+            on_wait();
+        }
+        let left = at.min(until).saturating_sub(now).min(WAIT_BEAT);
+        // Without another one's end the order is asked again all the same.
+        let _ = tokio::time::timeout(left, turns).await;
+    }
+}
+
 /// Keeps an adapter on its engine while a request runs on it.
 pub(crate) struct Use {
     owned: Rc<Owned>,
     id: AdapterId,
+    prompt: PromptKey,
 }
 
 impl Use {
-    fn start(owned: &Rc<Owned>, id: &AdapterId) -> Self {
+    fn start(owned: &Rc<Owned>, id: &AdapterId, prompt: Prompt) -> Self {
         owned.ledger.borrow_mut().begin(id);
-        Use { owned: owned.clone(), id: id.clone() }
+        let prompt = owned.reading.borrow_mut().join(prompt);
+        Use { owned: owned.clone(), id: id.clone(), prompt }
+    }
+
+    /// Reports that the request's first token has come.
+    pub(crate) fn on_read(&self, now: Duration) {
+        self.owned.reading.borrow_mut().on_read(self.prompt, now);
+        self.owned.turns.notify_waiters();
     }
 }
 
 impl Drop for Use {
     fn drop(&mut self) {
         self.owned.ledger.borrow_mut().end(&self.id);
+        self.owned.reading.borrow_mut().end(self.prompt);
         self.owned.wanted.notify_one();
+        self.owned.turns.notify_waiters();
     }
 }
 
@@ -153,18 +222,20 @@
 struct Waiter {
     owned: Rc<Owned>,
     id: AdapterId,
+    clock: Clock,
 }
 
 impl Waiter {
-    fn start(owned: &Rc<Owned>, id: &AdapterId, now: Duration) -> Self {
-        owned.ledger.borrow_mut().wait(id, now);
-        Waiter { owned: owned.clone(), id: id.clone() }
+    fn start(entry: &Entry, owned: &Rc<Owned>, id: &AdapterId) -> Self {
+        let clock = entry.clock;
+        owned.ledger.borrow_mut().wait(id, clock.now());
+        Waiter { owned: owned.clone(), id: id.clone(), clock }
     }
 }
 
 impl Drop for Waiter {
     fn drop(&mut self) {
-        self.owned.ledger.borrow_mut().leave(&self.id);
+        self.owned.ledger.borrow_mut().leave(&self.id, self.clock.now());
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -35,6 +35,7 @@
 
 enum Outgoing {
     Ask(Ask, Asker),
+    Read(u32),
     Done(u32),
 }
 
@@ -51,6 +52,15 @@
     number: u32,
 }
 
+impl Granted {
+    /// Tells the owner that the request's first token has come.
+    pub(crate) fn on_read(&self) {
+        if self.link.try_send(Outgoing::Read(self.number)).is_err() {
+            log::debug!("an owner was not told of a first token; its connection is gone");
+        }
+    }
+}
+
 impl Drop for Granted {
     fn drop(&mut self) {
         if self.link.try_send(Outgoing::Done(self.number)).is_err() {
@@ -134,6 +144,7 @@
             message = outgoing.recv() => {
                 let message = match message {
                     None => return,
+                    Some(Outgoing::Read(number)) => ToOwner::Read(number),
                     Some(Outgoing::Done(number)) => ToOwner::Done(number),
                     Some(Outgoing::Ask(mut ask, reply)) => {
                         number = number.wrapping_add(1);
@@ -222,6 +233,11 @@
                     }
                 });
             }
+            Ok(ToOwner::Read(number)) => {
+                if let Some(used) = uses.borrow().get(&number) {
+                    used.on_read(entry.clock.now());
+                }
+            }
             Ok(ToOwner::Done(number)) => {
                 uses.borrow_mut().remove(&number);
             }
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -11,6 +11,9 @@
 const RETRY_NO_SERVER_MS: u32 = 1_000;
 /// When to come back after an adapter was not loaded in time: a load's duration.
 const RETRY_NOT_LOADED_MS: u32 = 400;
+/// Added to the time after which an adapter should be loaded, so that it is when its callers
+/// come back.
+const RETRY_LOADED_MARGIN_MS: u32 = 200;
 /// When to come back to full engines: about the time in which half of a batch ends.
 const RETRY_FULL_MS: u32 = 300;
 /// When to come back to a host that has no configuration yet, and finds others ready.
@@ -41,6 +44,16 @@
     Refusal::maybe_ran(Code::DeadlinePassed, "no answer came in time")
 }
 
+/// Refuses a request for an adapter that is loaded too late for it, after `wait`.
+pub(crate) fn not_loaded(attempts: &Attempts, wait: Duration) -> Refusal {
+    if attempts.is_not_run() {
+        let wait_ms = wait.as_millis() as u32 + RETRY_LOADED_MARGIN_MS;
+        return Refusal::not_run(Code::DeadlineUnreachable, "the adapter is not loaded in time")
+            .retry_after_ms(wait_ms);
+    }
+    may_have_run()
+}
+
 /// Refuses a request that no server takes; `wait` is the time until the first one does that
 /// asked to be left alone.
 pub(crate) fn no_server(attempts: &Attempts, wait: Option<Duration>) -> Refusal {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,14 +3,14 @@
 use std::convert::Infallible;
 
 use guavaspread_fleet::{
-    AdapterId, Attempts, Outcome, Pick, PlacementKey, Route, Server, Standing, Verdict,
+    AdapterId, Attempts, Outcome, Pick, PlacementKey, Prompt, Route, Server, Standing, Verdict,
 };
 use guavaspread_model::Refusal;
 use http::{Request, Response, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::access::{self, Access, Kept};
+use crate::access::{self, Access, Kept, Want};
 use crate::body::{InFlight, RelayBody, Relayed};
 use crate::border::{AnswerHead, Asked, Sending};
 use crate::channel::{Answered, SendError};
@@ -18,7 +18,7 @@
 use crate::intake::prepare;
 use crate::prelude::*;
 use crate::record::{Record, Step};
-use crate::refusals::{all_full, budget_spent, no_server, out_of_time, unknown};
+use crate::refusals::{all_full, budget_spent, no_server, not_loaded, out_of_time, unknown};
 use crate::respond::refuse;
 use crate::state::Entry;
 
@@ -32,6 +32,13 @@
 /// Full engines that a request asks before it is refused.
 const FULL_MAX: u32 = 4;
 
+/// Engines asked whether they have an adapter at hand before another one fetches it: as many
+/// as its requests may have moved to while engines were lost.
+const OTHERS_ASKED: usize = 2;
+
+/// A server that may be asked.
+type Choice = (PlacementKey, Arc<Server>);
+
 /// Answers a caller's request.
 pub(crate) async fn handle(
     entry: Rc<Entry>,
@@ -59,6 +66,8 @@
     pub(crate) asked: Asked,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// When its answer should have begun.
+    pub(crate) due: Duration,
     /// When its caller or its route gives it up.
     pub(crate) until: Duration,
 }
@@ -92,13 +101,18 @@
                     return self.give_up(failure, &no_server(&attempts, wait), record);
                 }
             };
-            let (version, kept) = match self.access((key, &server), missed, &mut record).await {
+            let (reached, access) = self.reach((key, server), missed, &tried, &mut record).await;
+            let (key, server) = reached;
+            let (version, kept) = match access {
                 Access::Granted(version, kept) => (version, kept),
+                Access::NotSoon(wait) => {
+                    return self.give_up(failure, &not_loaded(&attempts, wait), record);
+                }
                 Access::Full if full + 1 >= FULL_MAX => {
                     return self.give_up(failure, &all_full(&attempts), record);
                 }
                 Access::Unknown => return self.give_up(failure, &unknown(&attempts), record),
-                access @ (Access::Denied | Access::Full) => {
+                access @ (Access::Denied | Access::Absent | Access::Full) => {
                     full += u32::from(matches!(access, Access::Full));
                     tried.push(server.id.clone());
                     missed = false;
@@ -117,6 +131,7 @@
             let attempt = self.attempt(key, &server, version, &mut attempts, &mut record).await;
             let (outcome, answered) = match attempt {
                 Attempt::Answered(answered, mut in_flight) => {
+                    kept.on_read(self.entry.clock.now());
                     in_flight.kept = kept;
                     return self.pass_on(*answered, in_flight, record);
                 }
@@ -149,7 +164,9 @@
                     placement.count(&id, now);
                 }
                 let tokens = self.asked.prompt_tokens;
-                placement.pick_adapter(&self.service, &id, tokens, tried, now)
+                let grants = self.entry.grants.borrow();
+                let holds = |server: &Server| grants.get(&server.id, &id, 0, now).is_some();
+                placement.pick_adapter(&self.service, &id, tokens, tried, &holds, now)
             }
             (Some(model), None) => placement.pick_engine(&self.service, model, tried, now),
             (None, _) => placement.pick_plain(&self.service, tried, now),
@@ -167,23 +184,70 @@
         self.asked.adapter.clone().map(|adapter| AdapterId { model, adapter })
     }
 
+    /// Asks for the use of the adapter: first of engines that have it at hand, then of the one
+    /// chosen to fetch it.
+    ///
+    /// Answers the load pattern of engines that are lost and come back: their adapters are at
+    /// hand at the engines next in order, and the weight store is what all engines wait for.
+    async fn reach(
+        &self,
+        (key, server): Choice,
+        missed: bool,
+        tried: &[Arc<str>],
+        record: &mut Record,
+    ) -> (Choice, Access) {
+        let access = self.access((key, &server), (missed, false), record).await;
+        if !matches!(access, Access::Absent) {
+            return ((key, server), access);
+        }
+        let mut left_out = tried.to_vec();
+        left_out.push(server.id.clone());
+        for (other_key, other) in self.others_in_order(&left_out) {
+            let access = self.access((other_key, &other), (false, false), record).await;
+            if matches!(access, Access::Granted(..)) {
+                return ((other_key, other), access);
+            }
+        }
+        let access = self.access((key, &server), (missed, true), record).await;
+        ((key, server), access)
+    }
+
+    /// Returns the engines that are next in the adapter's order.
+    fn others_in_order(&self, left_out: &[Arc<str>]) -> Vec<Choice> {
+        let Some(id) = self.adapter() else { return Vec::new() };
+        let placement = self.entry.placement.borrow();
+        let mut engines = placement.in_order(&self.service, &id, left_out, self.entry.clock.now());
+        engines.truncate(OTHERS_ASKED);
+        engines
+    }
+
     /// Waits until the server may be sent the request.
     async fn access(
         &self,
         (key, server): (PlacementKey, &Arc<Server>),
-        missed: bool,
+        (missed, may_fetch): (bool, bool),
         record: &mut Record,
     ) -> Access {
         let Some(id) = self.adapter() else {
             return Access::Granted(None, Kept::default());
         };
         let started = self.entry.clock.now();
-        let access = access::request(&self.entry, (key, server), &id, missed, self.until).await;
+        let prompt = Prompt {
+            tokens: self.asked.prompt_tokens,
+            due: self.due,
+            pause: self.route.pause_objective,
+        };
+        let want = Want { id: &id, prompt, missed, may_fetch, until: self.until };
+        let access = access::request(&self.entry, (key, server), want).await;
         let took = self.entry.clock.now().saturating_sub(started);
         if took > Duration::ZERO {
             let version = match &access {
                 Access::Granted(version, _) => *version,
-                Access::Denied | Access::Full | Access::Unknown => None,
+                Access::Denied
+                | Access::Absent
+                | Access::NotSoon(_)
+                | Access::Full
+                | Access::Unknown => None,
             };
             let took_ms = took.as_millis() as u64;
             record.add(Step::Asked { server: server.id.clone(), version, took_ms });
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -44,6 +44,8 @@
     pub timeout: Duration,
     /// The time within which an answer has its full worth.
     pub latency_objective: Duration,
+    /// The longest pause between two events with which an answer has its full worth.
+    pub pause_objective: Option<Duration>,
     /// The rank, 0 first.
     pub priority: u8,
     /// Servers that may be sent one request of a caller.
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -38,6 +38,9 @@
 const UNKNOWN_FOR: Duration = Duration::from_secs(2);
 /// Before an order is repeated that the engine refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+/// How long an engine that refused an order, or could not be reached for it, loads nothing for
+/// further requests: they find another one at once.
+const REFUSED_FOR: Duration = Duration::from_millis(900);
 /// A load that is not complete after that long was lost; the engine is asked what it holds.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
 /// Half-life of the demand by which adapters make way.
@@ -96,6 +99,8 @@
     since: Duration,
     /// Requests that wait for it.
     waiting: u32,
+    /// Until when it is loaded though none waits: for those that were told to come back.
+    kept_until: Duration,
 }
 
 /// Holds an order whose answer was lost.
@@ -141,6 +146,8 @@
     accepted_at: Duration,
     observe_at: Option<Duration>,
     resume_at: Duration,
+    /// Until when the engine, that refused the last order, counts as taking none.
+    refused_until: Duration,
     load_time: Duration,
     /// When the order under way or in doubt was first given.
     given_at: Option<Duration>,
@@ -171,6 +178,7 @@
             accepted_at: Duration::ZERO,
             observe_at: Some(Duration::ZERO),
             resume_at: Duration::ZERO,
+            refused_until: Duration::ZERO,
             load_time: LOAD_TIME,
             given_at: None,
             order_time: ORDER_TIME,
@@ -231,10 +239,27 @@
     pub fn wait(&mut self, id: &AdapterId, now: Duration) {
         self.unknown.retain(|_, until| *until > now);
         self.demand.add(id, now);
-        let fresh = Wanted { version: 0, since: now, waiting: 0 };
+        let fresh = Wanted { version: 0, since: now, waiting: 0, kept_until: now };
         self.wanted.entry(id.clone()).or_insert(fresh).waiting += 1;
     }
 
+    /// Keeps an adapter wanted until `until`, for requests that were told to come back.
+    pub fn keep_wanted(&mut self, id: &AdapterId, until: Duration) {
+        if let Some(wanted) = self.wanted.get_mut(id) {
+            wanted.kept_until = wanted.kept_until.max(until);
+        }
+    }
+
+    /// Tells whether an adapter can be used without a further fetch from the weight store.
+    pub fn is_at_hand(&self, id: &AdapterId) -> bool {
+        self.places.contains_key(id) || self.recent.contains(id)
+    }
+
+    /// Tells whether an adapter is at hand, or will be for requests that wait for it.
+    pub fn has_or_fetches(&self, id: &AdapterId) -> bool {
+        self.is_at_hand(id) || self.wanted.contains_key(id)
+    }
+
     /// Counts a request that may run on an adapter until [`EngineLedger::end`].
     pub fn begin(&mut self, id: &AdapterId) {
         *self.in_use.entry(id.clone()).or_default() += 1;
@@ -258,19 +283,21 @@
     }
 
     /// Counts off a request that no longer waits for an adapter.
-    pub fn leave(&mut self, id: &AdapterId) {
+    pub fn leave(&mut self, id: &AdapterId, now: Duration) {
         if let Some(wanted) = self.wanted.get_mut(id) {
             wanted.waiting = wanted.waiting.saturating_sub(1);
-            if wanted.waiting == 0 {
-                self.wanted.remove(id);
-            }
         }
+        self.forget_unwanted(now);
+    }
+
+    fn forget_unwanted(&mut self, now: Duration) {
+        self.wanted.retain(|_, wanted| wanted.waiting > 0 || wanted.kept_until > now);
     }
 
     /// Asks for an adapter in at least `version`.
     ///
     /// It is loaded only for requests counted by [`EngineLedger::wait`].
-    pub fn want(&mut self, id: &AdapterId, version: u64) -> Readiness {
+    pub fn want(&mut self, id: &AdapterId, version: u64, now: Duration) -> Readiness {
         if self.unknown.contains_key(id) {
             return Readiness::Unknown;
         }
@@ -293,13 +320,36 @@
                 return Readiness::InUse;
             }
         }
+        if now < self.refused_until && !self.places.contains_key(id) {
+            return Readiness::Impossible;
+        }
         if self.is_far_back(id) {
             return Readiness::Impossible;
         }
         if let Some(wanted) = self.wanted.get_mut(id) {
             wanted.version = wanted.version.max(version);
         }
-        Readiness::Loading
+        Readiness::Loading(self.load_wait(id, now))
+    }
+
+    /// Estimates how long it takes until an adapter is loaded.
+    fn load_wait(&self, id: &AdapterId, now: Duration) -> Duration {
+        if let Some(Place { state: State::Loading { since, .. }, .. }) = self.places.get(id) {
+            return (*since + self.load_time).saturating_sub(now);
+        }
+        if self.is_at_hand(id) {
+            return RELOAD_TIME;
+        }
+        let mine = self.wanted.get(id).map_or(now, |wanted| wanted.since);
+        let before = self.wanted.iter().filter(|(other, wanted)| {
+            *other != id && wanted.since <= mine && !self.is_at_hand(other)
+        });
+        let fetches = self.places.iter().filter(|(other, place)| {
+            matches!(place.state, State::Loading { .. }) && !self.recent.contains(other)
+        });
+        let full = usize::from(fetches.count() >= FETCHES_MAX);
+        let rounds = 1.0 + (before.count() + full) as f64 / FETCHES_MAX as f64;
+        self.load_time.mul_f64(rounds)
     }
 
     /// Tells whether the orders for adapters that were wanted before take too long.
@@ -338,13 +388,13 @@
         let Some(expected) = self.sequence else {
             return Step::Observe;
         };
+        if self.resume_at > now {
+            return Step::Wait(Some(self.resume_at));
+        }
         if let Some(doubt) = &self.doubt {
             self.under_way = Some(doubt.order.clone());
             return Step::Order(doubt.order.clone());
         }
-        if self.resume_at > now {
-            return Step::Wait(Some(self.resume_at));
-        }
         match self.next_kind(now) {
             Ok(kind) => {
                 self.given_at = Some(now);
--- a/crates/fleet/src/ledger/choose.rs
+++ b/crates/fleet/src/ledger/choose.rs
@@ -10,6 +10,7 @@
 impl EngineLedger {
     /// Chooses the next order, or tells when to look again.
     pub(super) fn next_kind(&mut self, now: Duration) -> Result<OrderKind, Option<Duration>> {
+        self.forget_unwanted(now);
         match self.model_state {
             ModelState::Absent => return Ok(OrderKind::LoadModel),
             ModelState::Loading { ask_at } if ask_at <= now => return Ok(OrderKind::LoadModel),
--- a/crates/fleet/src/ledger/results.rs
+++ b/crates/fleet/src/ledger/results.rs
@@ -2,8 +2,8 @@
 
 use super::{
     CONFLICT_PAUSE, Doubt, EngineLedger, FIRST_ASK_SHARE, LOAD_TIME_DECAY, MODEL_POLL_INTERVAL,
-    ModelState, ORDER_TIME_SHARE, POLL_INTERVAL, Place, RECENT_MAX, REFUSED_PAUSE, RELOAD_TIME,
-    REPEATS_MAX, REPORT_LAG, State, UNKNOWN_FOR,
+    ModelState, ORDER_TIME_SHARE, POLL_INTERVAL, Place, RECENT_MAX, REFUSED_FOR, REFUSED_PAUSE,
+    RELOAD_TIME, REPEATS_MAX, REPORT_LAG, State, UNKNOWN_FOR,
 };
 use crate::order::{Order, OrderKind, OrderResult};
 use crate::prelude::*;
@@ -16,6 +16,9 @@
             return;
         };
         let doubt = self.doubt.take();
+        if !matches!(result, OrderResult::Refused | OrderResult::Lost) {
+            self.refused_until = Duration::ZERO;
+        }
         if result != OrderResult::Lost
             && let Some(given_at) = self.given_at.take()
         {
@@ -48,6 +51,7 @@
             (OrderResult::Refused, doubt) => {
                 self.doubt = doubt;
                 self.resume_at = now + REFUSED_PAUSE;
+                self.refused_until = now + REFUSED_FOR;
             }
             (OrderResult::Lost, doubt) => {
                 let (had_effect, repeats) = doubt.map_or((false, 0), |d| (d.had_effect, d.repeats));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | choose a server | [`Placement`], [`Pick`] |
 //! | heed what servers say of themselves | [`Notices`], [`Standing`] |
 //! | decide which orders an engine gets | [`EngineLedger`], [`Step`] |
+//! | let an engine's prompts be read in turn | [`ReadingOrder`], [`Turn`] |
 //! | own an engine's orders | [`LeaseBook`], [`LeaseNext`] |
 //! | choose who reads the store for a zone | [`watchers`], [`Hearsay`] |
 //! | remember which engine holds what | [`Grants`] |
@@ -29,6 +30,7 @@
 mod order;
 mod placement;
 mod prelude;
+mod reading;
 mod roster;
 mod shares;
 mod watch;
@@ -42,6 +44,7 @@
 pub use notices::{Notices, Said, Standing};
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
+pub use reading::{Prompt, PromptKey, ReadingOrder, Turn};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
 pub use shares::{retry_budget, slack_part};
 pub use watch::{Hearsay, PassedOn, followed, watchers};
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -54,8 +54,8 @@
 pub enum Readiness {
     /// It is loaded in that version.
     Ready(u64),
-    /// It is being loaded, or waits for that.
-    Loading,
+    /// It is being loaded, or waits for that, for about so long.
+    Loading(Duration),
     /// An older version is in use here; another engine has the new one sooner.
     InUse,
     /// The engine runs as many requests as it can, and a few wait.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -4,6 +4,10 @@
 //! adapter has an order of engines of its own, the same on every entry host, and uses
 //! as many of the first ones as its share of the requests asks for. Rare adapters so
 //! meet on one engine, where their last load is still at hand; popular ones spread.
+//!
+//! Engines come and go, and all fetch from one weight store: an engine that holds the
+//! adapter already goes before one that would fetch it, unless it is far more loaded. So an
+//! adapter that moved when its engine was lost stays where it is when that one returns.
 //! Plain services go by load, the entry host's own zone first.
 
 use std::cell::Cell;
@@ -23,8 +27,10 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// What one recent failure adds to a server's cost, in shares of its slots.
 const FAILURE_COST: f64 = 0.5;
-/// How long a load report counts; later one's own requests say more.
-const REPORT_KEPT_FOR: Duration = Duration::from_millis(1_000);
+/// How long a load report counts, less and less: a request lasts for two to three seconds.
+const REPORT_FADES_IN: Duration = Duration::from_millis(4_000);
+/// What a fetch of the adapter adds to an engine's cost, in shares of its slots.
+const FETCH_COST: f64 = 0.4;
 /// What another zone adds to the cost of a plain server, in shares of its slots.
 const ZONE_COST: f64 = 0.5;
 /// Half-life of an adapter's demand; popularity shifts within seconds.
@@ -88,10 +94,13 @@
     /// Returns the requests there.
     fn requests(&self, now: Duration) -> f64 {
         let reported = match self.report {
-            Some((report, at)) if now < at + REPORT_KEPT_FOR => report.running + report.waiting,
-            _ => 0,
+            Some((report, at)) => {
+                let age = now.saturating_sub(at).as_secs_f64() / REPORT_FADES_IN.as_secs_f64();
+                f64::from(report.running + report.waiting) * (1.0 - age).max(0.0)
+            }
+            None => 0.0,
         };
-        f64::from(reported.max(self.in_flight))
+        reported.max(f64::from(self.in_flight))
     }
 
     /// Returns the requests there with one more, as a share of its slots.
@@ -212,26 +221,21 @@
         self.cheapest(open, |c| c.cost(now), service, now)
     }
 
-    /// Chooses an engine for a request on an adapter with a prompt of `tokens`.
+    /// Chooses an engine for a request on an adapter with a prompt of `tokens`; `holds` tells
+    /// of engines that hold it though their rows do not show it yet.
     pub fn pick_adapter(
         &self,
         service: &str,
         adapter: &AdapterId,
         tokens: u32,
         tried: &[Arc<str>],
+        holds: &dyn Fn(&Server) -> bool,
         now: Duration,
     ) -> Pick {
-        let mut open = self.open(service, tried, now);
-        let holders: Vec<_> =
-            open.iter().copied().filter(|key| self.holds(*key, &adapter.model)).collect();
-        if !holders.is_empty() {
-            open = holders;
-        }
-        let name = format!("{}/{}", adapter.model, adapter.adapter);
-        let score = |key: &PlacementKey| {
-            self.candidates.get(*key).map_or(0, |c| rendezvous_score(&name, &c.server.id))
-        };
-        open.sort_by_cached_key(|key| std::cmp::Reverse(score(key)));
+        let mut open = self.ordered(service, adapter, tried, now);
+        let has = |c: &Candidate| c.server.holds(adapter) || holds(&c.server);
+        let holders: Vec<PlacementKey> =
+            open.iter().copied().filter(|key| self.candidates.get(*key).is_some_and(has)).collect();
         let mut count = self.replicas(&open, adapter, now);
         // Another engine has to read the parts of the prompt that this one keeps.
         let first = open.first().and_then(|key| self.candidates.get(*key));
@@ -240,7 +244,48 @@
             count += LONG_PROMPT_CHOICES;
         }
         open.truncate(count);
-        self.cheapest(open, |c| c.cost(now), service, now)
+        open.extend(holders.iter().filter(|key| !open.contains(key)).copied().collect::<Vec<_>>());
+        let held: Vec<Arc<str>> = holders
+            .iter()
+            .filter_map(|key| Some(self.candidates.get(*key)?.server.id.clone()))
+            .collect();
+        let cost = |c: &Candidate| {
+            c.cost(now) + if held.contains(&c.server.id) { 0.0 } else { FETCH_COST }
+        };
+        self.cheapest(open, cost, service, now)
+    }
+
+    /// Returns the engines that take work in the order in which an adapter uses them.
+    pub fn in_order(
+        &self,
+        service: &str,
+        adapter: &AdapterId,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> Vec<(PlacementKey, Arc<Server>)> {
+        let keys = self.ordered(service, adapter, tried, now).into_iter();
+        keys.filter_map(|key| Some((key, self.candidates.get(key)?.server.clone()))).collect()
+    }
+
+    fn ordered(
+        &self,
+        service: &str,
+        adapter: &AdapterId,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> Vec<PlacementKey> {
+        let mut open = self.open(service, tried, now);
+        let with_model: Vec<_> =
+            open.iter().copied().filter(|key| self.holds(*key, &adapter.model)).collect();
+        if !with_model.is_empty() {
+            open = with_model;
+        }
+        let name = format!("{}/{}", adapter.model, adapter.adapter);
+        let score = |key: &PlacementKey| {
+            self.candidates.get(*key).map_or(0, |c| rendezvous_score(&name, &c.server.id))
+        };
+        open.sort_by_cached_key(|key| std::cmp::Reverse(score(key)));
+        open
     }
 
     /// Reports that a server was sent a request.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -79,6 +79,12 @@
 }
 
 impl Server {
+    /// Tells whether it lists an adapter.
+    pub fn holds(&self, id: &AdapterId) -> bool {
+        let held = self.models.iter().filter(|model| model.name == id.model);
+        held.flat_map(|model| &model.adapters).any(|adapter| adapter.name == id.adapter)
+    }
+
     /// Tells whether it may be sent new work.
     pub fn is_ready(&self) -> bool {
         self.state == ServerState::Ready
--- a/crates/fleet/tests/attempts.rs
+++ b/crates/fleet/tests/attempts.rs
@@ -18,6 +18,7 @@
         resumable,
         timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(100),
+        pause_objective: None,
         priority: 0,
         attempts_max,
         targets: Vec::new(),
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -17,6 +17,7 @@
         resumable: false,
         timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(100),
+        pause_objective: None,
         priority: 0,
         attempts_max: 2,
         targets: vec![Target { service: "booking".into(), weight: 1.0 }],
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -163,16 +163,24 @@
     let mut at = from;
     for name in names {
         ledger.wait(&id(name), ms(at));
-        while ledger.want(&id(name), 0) == Readiness::Loading {
+        while matches!(ledger.want(&id(name), 0, ms(at)), Readiness::Loading(_)) {
             at += 10;
             assert!(at < from + 10_000, "{name} was not loaded");
             settle(ledger, engine, ms(at));
         }
-        ledger.leave(&id(name));
+        ledger.leave(&id(name), ms(at));
     }
     at
 }
 
+/// Later than all that these tests play.
+const LATEST: Duration = Duration::from_secs(3_600);
+
+/// Tells whether an adapter is or will be loaded.
+fn is_loading(ledger: &mut EngineLedger, id: &AdapterId) -> bool {
+    matches!(ledger.want(id, 0, LATEST), Readiness::Loading(_))
+}
+
 fn started() -> (EngineLedger, Engine) {
     let (mut ledger, mut engine) = (EngineLedger::new(spec(), "m".into()), Engine::default());
     settle(&mut ledger, &mut engine, ms(0));
@@ -196,7 +204,7 @@
     }
     load(&mut ledger, &mut engine, &["e"], at);
     for name in ["a", "b", "c"] {
-        assert_eq!(ledger.want(&id(name), 0), Readiness::Ready(1), "{name} made way");
+        assert_eq!(ledger.want(&id(name), 0, LATEST), Readiness::Ready(1), "{name} made way");
     }
 }
 
@@ -204,8 +212,8 @@
 fn nothing_is_loaded_for_requests_that_left() {
     let (mut ledger, mut engine) = started();
     ledger.wait(&id("a"), ms(500));
-    ledger.want(&id("a"), 0);
-    ledger.leave(&id("a"));
+    ledger.want(&id("a"), 0, LATEST);
+    ledger.leave(&id("a"), LATEST);
     settle(&mut ledger, &mut engine, ms(510));
     assert!(engine.now.coming.is_empty());
 }
@@ -216,23 +224,23 @@
     let at = load(&mut ledger, &mut engine, &["a"], 1_000);
     ledger.begin(&id("a"));
     ledger.on_version(&id("a"), 2);
-    assert_eq!(ledger.want(&id("a"), 0), Readiness::InUse);
+    assert_eq!(ledger.want(&id("a"), 0, LATEST), Readiness::InUse);
     ledger.end(&id("a"));
     ledger.wait(&id("a"), ms(at));
-    assert_eq!(ledger.want(&id("a"), 0), Readiness::Loading);
+    assert!(is_loading(&mut ledger, &id("a")));
     // The users' engine replaces an idle adapter as it loads a new one.
     engine.now.ready.clear();
     for tick in 1..100 {
         settle(&mut ledger, &mut engine, ms(at + tick * 10));
     }
-    assert_eq!(ledger.want(&id("a"), 0), Readiness::Ready(2));
+    assert_eq!(ledger.want(&id("a"), 0, LATEST), Readiness::Ready(2));
 }
 
 #[test]
 fn an_order_that_shows_late_in_the_report_is_not_given_twice() {
     let (mut ledger, mut engine) = started();
     ledger.wait(&id("a"), ms(1_000));
-    ledger.want(&id("a"), 0);
+    ledger.want(&id("a"), 0, LATEST);
     engine.advance(ms(1_000));
     let Step::Order(order) = ledger.next(ms(1_000)) else { panic!("no order") };
     engine.order(&order, ms(1_000));
@@ -240,7 +248,7 @@
     for tick in 1..200 {
         settle(&mut ledger, &mut engine, ms(1_000 + tick * 10));
     }
-    assert_eq!(ledger.want(&id("a"), 0), Readiness::Ready(1));
+    assert_eq!(ledger.want(&id("a"), 0, LATEST), Readiness::Ready(1));
     assert_eq!(engine.now.sequence, 1);
 }
 
@@ -248,15 +256,68 @@
 fn an_adapter_that_the_engine_does_not_know_is_refused_at_once() {
     let (mut ledger, mut engine) = started();
     ledger.wait(&id("ghost"), ms(1_000));
-    assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Loading);
+    assert!(is_loading(&mut ledger, &id("ghost")));
     assert!(matches!(ledger.next(ms(1_000)), Step::Order(_)));
     ledger.on_result(OrderResult::Unknown, ms(1_000));
-    assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Unknown);
-    ledger.leave(&id("ghost"));
+    assert_eq!(ledger.want(&id("ghost"), 0, LATEST), Readiness::Unknown);
+    ledger.leave(&id("ghost"), LATEST);
     // Others are loaded meanwhile, and it may exist later.
     load(&mut ledger, &mut engine, &["a"], 1_100);
     ledger.wait(&id("ghost"), ms(4_000));
-    assert_eq!(ledger.want(&id("ghost"), 0), Readiness::Loading);
+    assert!(is_loading(&mut ledger, &id("ghost")));
+}
+
+/// The pattern of a killed engine whose row stays for seconds: the order in doubt must not be
+/// given over and over, and its requests go elsewhere at once.
+#[test]
+fn an_engine_that_refuses_an_order_in_doubt_is_given_a_pause() {
+    let (mut ledger, _engine) = started();
+    ledger.wait(&id("a"), ms(1_000));
+    assert!(is_loading(&mut ledger, &id("a")));
+    assert!(matches!(ledger.next(ms(1_000)), Step::Order(_)));
+    ledger.on_result(OrderResult::Lost, ms(1_060));
+    let mut orders = 0;
+    for at in 1_060..2_060 {
+        while let Step::Order(_) = ledger.next(ms(at)) {
+            orders += 1;
+            assert!(orders < 10, "the order is given over and over");
+            ledger.on_result(OrderResult::Refused, ms(at));
+        }
+    }
+    assert!(orders >= 2, "it is given up after {orders}");
+    ledger.wait(&id("b"), ms(2_060));
+    assert_eq!(ledger.want(&id("b"), 0, ms(2_060)), Readiness::Impossible);
+    ledger.wait(&id("c"), ms(4_000));
+    assert!(matches!(ledger.want(&id("c"), 0, ms(4_000)), Readiness::Loading(_)));
+}
+
+/// The pattern of a weight store that all engines crowd: a load takes seconds, and who
+/// would wait beyond its time is told when to come back, and finds the adapter then.
+#[test]
+fn an_adapter_is_loaded_for_those_that_were_told_to_come_back() {
+    let (mut ledger, mut engine) = started();
+    let names = ["a", "b", "c", "d", "e", "f"];
+    for name in names {
+        ledger.wait(&id(name), ms(1_000));
+    }
+    let waits: Vec<Duration> = names
+        .iter()
+        .map(|name| match ledger.want(&id(name), 0, ms(1_000)) {
+            Readiness::Loading(wait) => wait,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    // Six fetches, three at a time.
+    assert!(waits.iter().all(|wait| *wait >= LOAD && *wait <= LOAD * 3), "{waits:?}");
+    ledger.keep_wanted(&id("f"), ms(1_000) + waits[5] + LOAD * 2);
+    for name in names {
+        ledger.leave(&id(name), ms(1_000));
+    }
+    for tick in 0..80 {
+        settle(&mut ledger, &mut engine, ms(1_000 + tick * 10));
+    }
+    assert_eq!(engine.now.ready.keys().map(|name| &**name).collect::<Vec<_>>(), ["f"]);
+    assert!(ledger.is_at_hand(&id("f")) && !ledger.is_at_hand(&id("a")));
 }
 
 /// The pattern of an engine whose orders get lost: each takes a second or more, and
@@ -269,7 +330,7 @@
     for name in &names[..5] {
         ledger.wait(&id(name), now);
         now += ms(1);
-        assert_eq!(ledger.want(&id(name), 0), Readiness::Loading);
+        assert!(is_loading(&mut ledger, &id(name)));
     }
     // Orders are answered after three tries, 400 ms each.
     for _ in 0..4 {
@@ -284,16 +345,16 @@
         ledger.on_result(result, now);
     }
     ledger.wait(&id("f"), now);
-    assert_eq!(ledger.want(&id("f"), 0), Readiness::Impossible);
-    ledger.leave(&id("f"));
+    assert_eq!(ledger.want(&id("f"), 0, LATEST), Readiness::Impossible);
+    ledger.leave(&id("f"), LATEST);
     // Those that came first wait on, and with them gone there is room again.
-    let still = names[..5].iter().map(|name| ledger.want(&id(name), 0));
-    assert!(still.filter(|readiness| *readiness == Readiness::Loading).count() >= 2);
+    let still = names[..5].iter().map(|name| ledger.want(&id(name), 0, now));
+    assert!(still.filter(|readiness| matches!(readiness, Readiness::Loading(_))).count() >= 2);
     for name in &names[..5] {
-        ledger.leave(&id(name));
+        ledger.leave(&id(name), LATEST);
     }
     ledger.wait(&id("f"), now);
-    assert_eq!(ledger.want(&id("f"), 0), Readiness::Loading);
+    assert!(is_loading(&mut ledger, &id("f")));
 }
 
 #[test]
@@ -303,7 +364,7 @@
     for number in 0..40 {
         let name = format!("x{number}");
         ledger.wait(&id(&name), now);
-        assert_eq!(ledger.want(&id(&name), 0), Readiness::Loading, "{name}");
+        assert!(is_loading(&mut ledger, &id(&name)), "{name}");
         settle(&mut ledger, &mut engine, now);
     }
 }
@@ -342,9 +403,9 @@
             ledger.wait(&id(name), now);
             waiting.push(name);
         }
-        waiting.retain(|name| match ledger.want(&id(name), 0) {
+        waiting.retain(|name| match ledger.want(&id(name), 0, now) {
             Readiness::Ready(_) => {
-                ledger.leave(&id(name));
+                ledger.leave(&id(name), now);
                 ledger.begin(&id(name));
                 *engine.runs.entry((*name).into()).or_default() += 1;
                 running.push((now + ms(rng.random_range(20..600)), name));
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// Nobody knows more of what an engine holds than its row shows.
+fn nowhere(_: &Server) -> bool {
+    false
+}
+
 /// Sends `count` requests, of which `share` go to one adapter, and returns its engines.
 fn engines_of_popular(share: f64, count: u32) -> HashSet<Arc<str>> {
     let mut placement = placement(9);
@@ -58,7 +63,7 @@
         owed += share;
         let id = if owed >= 1.0 { popular.clone() } else { adapter(&format!("rare-{n}")) };
         placement.count(&id, NOW);
-        let (key, server) = picked(placement.pick_adapter("drafter", &id, 100, &[], NOW));
+        let (key, server) = picked(placement.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW));
         placement.on_sent(key);
         running.push_back(key);
         if running.len() > RUNNING {
@@ -88,8 +93,8 @@
     let (a, b) = (placement(9), placement(9));
     for n in 0..50 {
         let id = adapter(&format!("a{n}"));
-        let first = picked(a.pick_adapter("drafter", &id, 100, &[], NOW)).1;
-        assert_eq!(first, picked(b.pick_adapter("drafter", &id, 100, &[], NOW)).1);
+        let first = picked(a.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW)).1;
+        assert_eq!(first, picked(b.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW)).1);
     }
 }
 
@@ -98,13 +103,24 @@
     let mut placement = placement(9);
     let before: Vec<Arc<str>> = (0..100)
         .map(|n| {
-            picked(placement.pick_adapter("drafter", &adapter(&format!("a{n}")), 100, &[], NOW)).1
+            picked(placement.pick_adapter(
+                "drafter",
+                &adapter(&format!("a{n}")),
+                100,
+                &[],
+                &nowhere,
+                NOW,
+            ))
+            .1
         })
         .collect();
     placement.remove("i-3");
     for (n, engine) in before.iter().enumerate().filter(|(_, engine)| &***engine != "i-3") {
         let id = adapter(&format!("a{n}"));
-        assert_eq!(*engine, picked(placement.pick_adapter("drafter", &id, 100, &[], NOW)).1);
+        assert_eq!(
+            *engine,
+            picked(placement.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW)).1
+        );
     }
 }
 
@@ -155,7 +171,7 @@
 fn crowded_engines_share_their_popular_adapters() {
     let mut placement = placement(9);
     let engine_of = |placement: &Placement, id: &AdapterId| {
-        picked(placement.pick_adapter("drafter", id, 100, &[], NOW))
+        picked(placement.pick_adapter("drafter", id, 100, &[], &nowhere, NOW))
     };
     let rising: Vec<AdapterId> = (0..200)
         .map(|n| adapter(&format!("a{n}")))
@@ -183,10 +199,10 @@
 fn a_long_prompt_goes_past_a_busy_engine() {
     let mut placement = placement(9);
     let id = adapter("digest");
-    let (key, first) = picked(placement.pick_adapter("drafter", &id, 9_000, &[], NOW));
+    let (key, first) = picked(placement.pick_adapter("drafter", &id, 9_000, &[], &nowhere, NOW));
     placement.on_report(key, LoadReport { running: 5, waiting: 0, slots: 8 }, NOW);
-    assert_ne!(picked(placement.pick_adapter("drafter", &id, 9_000, &[], NOW)).1, first);
-    assert_eq!(picked(placement.pick_adapter("drafter", &id, 100, &[], NOW)).1, first);
+    assert_ne!(picked(placement.pick_adapter("drafter", &id, 9_000, &[], &nowhere, NOW)).1, first);
+    assert_eq!(picked(placement.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW)).1, first);
 }
 
 /// The pattern of a full engine that would keep any request waiting.
@@ -194,7 +210,36 @@
 fn a_full_engine_passes_rare_adapters_on() {
     let mut placement = placement(9);
     let id = adapter("rare");
-    let (key, first) = picked(placement.pick_adapter("drafter", &id, 100, &[], NOW));
+    let (key, first) = picked(placement.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW));
+    placement.on_report(key, LoadReport { running: 8, waiting: 0, slots: 8 }, NOW);
+    assert_ne!(picked(placement.pick_adapter("drafter", &id, 100, &[], &nowhere, NOW)).1, first);
+}
+
+/// The pattern of an engine that is lost and comes back: what it held was fetched by the
+/// engines next in order, and all engines share one weight store.
+#[test]
+fn an_adapter_stays_where_it_was_fetched_when_its_first_engine_returns() {
+    let mut placement = placement(9);
+    let id = adapter("moved");
+    let engine_of = |placement: &Placement, holds: &dyn Fn(&Server) -> bool| {
+        picked(placement.pick_adapter("drafter", &id, 100, &[], holds, NOW))
+    };
+    let first = engine_of(&placement, &nowhere).1;
+    placement.remove(&first);
+    let second = engine_of(&placement, &nowhere).1;
+    placement.upsert(Arc::new(Server { born: 2, ..server(&first, "north") }));
+    assert_eq!(engine_of(&placement, &nowhere).1, first);
+    assert_eq!(engine_of(&placement, &|server| server.id == second).1, second);
+    // Or as its row shows.
+    let held = guavaspread_fleet::HeldAdapter { name: "moved".into(), version: 1 };
+    let model = HeldModel { name: "m".into(), version: 1, adapters: vec![held] };
+    placement.upsert(Arc::new(Server { models: vec![model], ..server(&second, "north") }));
+    let (key, holder) = engine_of(&placement, &nowhere);
+    assert_eq!(holder, second);
+    // A holder that is full does not keep it for itself.
     placement.on_report(key, LoadReport { running: 8, waiting: 0, slots: 8 }, NOW);
-    assert_ne!(picked(placement.pick_adapter("drafter", &id, 100, &[], NOW)).1, first);
+    assert_eq!(engine_of(&placement, &nowhere).1, first);
+    let next = placement.in_order("drafter", &id, &[first], NOW);
+    assert_eq!(next.len(), 8);
+    assert_eq!(next[0].1.id, second);
 }
