Renew the leases of a zone in one write

In zones of five hosts or more the zone's first watcher writes the renewals of all that ask it, at moments of the store's clock that are the same for all (RenewalGroup). Each row keeps the condition of its host, which counts its lease from when it asked; LeaseBook is as it was but for the moment of the renewal.

Tests: 10,000 interleavings with a delegate that stands still, writes late or loses the answer; it breaks without the condition of each row and without ending the lease of the holder before.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -4,9 +4,9 @@
 
 use crate::border::{Feed, Listing, StoreError, Update, Written};
 use crate::prelude::*;
-use crate::relays;
 use crate::settings::STORE_MARGIN_MS;
 use crate::state::Entry;
+use crate::{relays, renewals};
 
 /// Between two looks whether the watchers' news are still fresh.
 const RELAYED_PAUSE: Duration = Duration::from_millis(150);
@@ -146,7 +146,7 @@
         match next {
             LeaseNext::Read(after) => read_leases(&entry, after).await,
             LeaseNext::Write(write) => {
-                let result = entry.borders.store.write_leases(&write).await;
+                let result = renewals::write_leases(&entry, &write).await;
                 let mut leases = entry.leases.borrow_mut();
                 match result {
                     Ok(Written::Done { revision, shown_ms }) => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod refusals;
 mod relay;
 mod relays;
+mod renewals;
 mod respond;
 mod resume;
 mod settings;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,6 +4,7 @@
 //! orders. Messages are postcard in length-delimited frames; several questions may be
 //! open on a connection, told apart by their numbers.
 
+use guavaspread_fleet::HostLease;
 use serde::{Deserialize, Serialize};
 
 use crate::border::{Feed, Listing};
@@ -18,6 +19,8 @@
     Read(u32),
     /// Ends the use granted to the question of that number.
     Done(u32),
+    /// Asks for a renewal of the sender's lease, along with those of others.
+    Renew(RenewAsk),
     /// Asks for all that the host learns from the store.
     Watch,
 }
@@ -29,6 +32,31 @@
     Reply(Reply),
     /// Passes on what the store said.
     News(News),
+    /// Says that the lease was renewed, or that its host had better see to it.
+    Renewed {
+        /// The number of the question.
+        number: u32,
+        /// What the store said.
+        renewal: Option<Renewal>,
+    },
+}
+
+/// Asks for the renewal of a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewAsk {
+    /// Tells the answer apart from others on the connection.
+    pub number: u32,
+    /// The row as it is to be written, if it is at the revision given in it.
+    pub lease: HostLease,
+}
+
+/// What the store said of a renewal that it carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The revision of the write.
+    pub revision: u64,
+    /// The store's clock, in milliseconds.
+    pub shown_ms: u64,
 }
 
 /// Passes on rows of a list, or only how old the host's knowledge is.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 
 use futures::{SinkExt, StreamExt};
+use guavaspread_fleet::HostLease;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::channel::{connect, set_options};
-use crate::message::{Answer, Ask, FromOwner, Reply, ToOwner};
+use crate::message::{Answer, Ask, FromOwner, RenewAsk, Renewal, Reply, ToOwner};
 use crate::orders::Use;
 use crate::prelude::*;
 use crate::relays;
@@ -27,6 +28,9 @@
 const ANSWERS_MAX: usize = 32;
 /// How long the last answer may take beyond the wait that the question allows.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// How long a delegate may take to renew a lease: it waits for other hosts' renewals, and the
+/// store for its table's other writes.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a peer that said nothing is not asked again.
 const SILENT_FOR: Duration = Duration::from_millis(1_500);
 
@@ -37,6 +41,7 @@
     Ask(Ask, Asker),
     Read(u32),
     Done(u32),
+    Renew(HostLease, oneshot::Sender<Option<Renewal>>),
 }
 
 /// Keeps a connection to each peer that was asked.
@@ -109,6 +114,30 @@
         }
     }
 
+    /// Asks the host at `address` to renew a lease; `None` if it does not.
+    pub(crate) async fn renew(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        lease: HostLease,
+        clock: Clock,
+    ) -> Option<Renewal> {
+        let silent_until = self.silent_until.borrow().get(&address).copied();
+        if silent_until.is_some_and(|until| clock.now() < until) {
+            return None;
+        }
+        let (asker, answer) = oneshot::channel();
+        self.link(address).try_send(Outgoing::Renew(lease, asker)).ok()?;
+        match tokio::time::timeout(RENEW_TIMEOUT, answer).await {
+            Ok(Ok(renewal)) => renewal,
+            Ok(Err(_)) => None,
+            Err(_) => {
+                // It may wait for the store: that is no reason to leave it alone.
+                log::warn!("entry host {address} did not renew a lease in time");
+                None
+            }
+        }
+    }
+
     /// Rests from a peer; the next question opens another connection.
     fn on_silent(&self, address: SocketAddr, clock: Clock) {
         self.links.borrow_mut().remove(&address);
@@ -138,12 +167,19 @@
     };
     let mut framed = Framed::new(stream, codec());
     let mut open: HashMap<u32, Asker> = HashMap::new();
+    let mut renewals: HashMap<u32, oneshot::Sender<Option<Renewal>>> = HashMap::new();
     let mut number: u32 = 0;
     loop {
         tokio::select! {
             message = outgoing.recv() => {
                 let message = match message {
                     None => return,
+                    Some(Outgoing::Renew(lease, asker)) => {
+                        number = number.wrapping_add(1);
+                        renewals.retain(|_, asker| !asker.is_closed());
+                        renewals.insert(number, asker);
+                        ToOwner::Renew(RenewAsk { number, lease })
+                    }
                     Some(Outgoing::Read(number)) => ToOwner::Read(number),
                     Some(Outgoing::Done(number)) => ToOwner::Done(number),
                     Some(Outgoing::Ask(mut ask, reply)) => {
@@ -159,11 +195,20 @@
             }
             frame = framed.next() => {
                 let Some(Ok(frame)) = frame else { return };
-                let Ok(FromOwner::Reply(reply)) = postcard::from_bytes(&frame) else {
-                    log::warn!("entry host {address} sent what was not asked for");
-                    return;
+                let Reply { number, answer } = match postcard::from_bytes(&frame) {
+                    Ok(FromOwner::Reply(reply)) => reply,
+                    Ok(FromOwner::Renewed { number, renewal }) => {
+                        if let Some(asker) = renewals.remove(&number) {
+                            // Who asked may have given it up.
+                            let _ = asker.send(renewal);
+                        }
+                        continue;
+                    }
+                    Ok(FromOwner::News(_)) | Err(_) => {
+                        log::warn!("entry host {address} sent what was not asked for");
+                        return;
+                    }
                 };
-                let Reply { number, answer } = reply;
                 let unwanted = match open.get(&number) {
                     Some(asker) => asker.try_send((answer, number)).is_err(),
                     None => true,
@@ -241,6 +286,16 @@
             Ok(ToOwner::Done(number)) => {
                 uses.borrow_mut().remove(&number);
             }
+            Ok(ToOwner::Renew(RenewAsk { number, lease })) => {
+                let (entry, tx) = (entry.clone(), tx.clone());
+                tokio::task::spawn_local(async move {
+                    let renewal = entry.renewals.join(&entry, lease).await;
+                    let renewed = FromOwner::Renewed { number, renewal };
+                    if tx.send(frame(&renewed)).await.is_err() {
+                        log::debug!("a peer that asked for a renewal has left");
+                    }
+                });
+            }
             Ok(ToOwner::Watch) => {
                 tokio::task::spawn_local(relays::pass_on(entry.clone(), tx.clone()));
             }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -16,9 +16,10 @@
 use crate::peers::Peers;
 use crate::prelude::*;
 use crate::relays::{self, Relays};
+use crate::renewals::Renewals;
 use crate::settings::EntrySettings;
 use crate::state::Entry;
-use crate::{follow, front, peers};
+use crate::{follow, front, peers, renewals};
 
 /// How long a lease lasts: longer than most outages of the store, so that loads go on.
 const LEASE: Duration = Duration::from_secs(12);
@@ -60,6 +61,7 @@
     spawn_local(follow::follow(entry.clone(), Feed::Servers));
     spawn_local(follow::hold_leases(entry.clone()));
     spawn_local(relays::subscribe(entry.clone()));
+    spawn_local(renewals::write(entry.clone()));
     spawn_local(sweep(entry.clone()));
     spawn_local(watch_settings(entry.clone(), path));
     let mut term = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
@@ -85,6 +87,7 @@
         pool: Rc::new(Pool::default()),
         peers: Rc::new(Peers::default()),
         relays: Relays::default(),
+        renewals: Renewals::default(),
         holder,
         catalog: RefCell::new(None),
         versions: RefCell::default(),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,6 +14,7 @@
 use crate::peers::Peers;
 use crate::prelude::*;
 use crate::relays::Relays;
+use crate::renewals::Renewals;
 use crate::settings::EntrySettings;
 
 /// Holds the newest version of an adapter.
@@ -32,6 +33,7 @@
     pub(crate) pool: Rc<Pool>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) relays: Relays,
+    pub(crate) renewals: Renewals,
     /// The name under which this host holds leases.
     pub(crate) holder: Arc<str>,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -24,6 +24,7 @@
 
 use crate::backoff::Backoff;
 use crate::prelude::*;
+use crate::watch::ZONE_HOSTS_MIN;
 
 #[derive(Clone, Copy, Debug)]
 struct StoreClock {
@@ -193,7 +194,7 @@
         self.on_clock(shown_ms, sent_at, now);
         self.writes.on_success();
         let settled_at = self.own.map_or(now + SETTLE_TIME, |own| own.settled_at);
-        let renew_at = sent_at + self.times.renew;
+        let renew_at = self.renew_at(sent_at);
         self.own = Some(Own { until_ms: write.host.until_ms, renew_at, settled_at });
         self.hosts.insert(self.host.clone(), HostLease { revision, ..write.host });
         for row in write.ended {
@@ -206,6 +207,21 @@
         }
     }
 
+    /// Returns when a lease written at `sent_at` is renewed: in a zone of many hosts at moments
+    /// of the store's clock that are the same for all, so that one write may renew them all.
+    fn renew_at(&self, sent_at: Duration) -> Duration {
+        let renew = self.times.renew;
+        let Some(clock_ms) = self.latest_ms(sent_at) else { return sent_at + renew };
+        if self.neighbours(sent_at).count() < ZONE_HOSTS_MIN {
+            return sent_at + renew;
+        }
+        let renew_ms = renew.as_millis() as u64;
+        let wanted_ms = clock_ms + renew_ms;
+        // Half a period earlier or later at most, which a lease bears.
+        let at_ms = (wanted_ms + renew_ms / 2) / renew_ms * renew_ms;
+        sent_at + Duration::from_millis(at_ms.saturating_sub(clock_ms))
+    }
+
     /// Reports that a row was not as expected, so that nothing was written.
     pub fn on_conflict(&mut self) {
         self.stale = true;
@@ -328,7 +344,7 @@
             Claim { engine, holder: self.host.clone(), revision }
         };
         let claims = engines.into_iter().map(claim).collect();
-        LeaseWrite { host, claims, ended, ended_before }
+        LeaseWrite { host, claims, ended, ended_before, renewed: Vec::new() }
     }
 
     fn on_clock(&mut self, shown_ms: u64, sent_at: Duration, received_at: Duration) {
--- a/crates/fleet/src/lease/claims.rs
+++ b/crates/fleet/src/lease/claims.rs
@@ -83,7 +83,7 @@
     }
 
     /// Lists the hosts of the zone whose leases last.
-    fn neighbours(&self, now: Duration) -> impl Iterator<Item = &HostLease> {
+    pub(super) fn neighbours(&self, now: Duration) -> impl Iterator<Item = &HostLease> {
         let earliest_ms = self.earliest_ms(now);
         self.hosts
             .values()
@@ -91,7 +91,7 @@
     }
 
     /// Returns a number from 0 to 1 that each host draws for itself.
-    pub(super) fn lot(&self) -> f64 {
+    pub fn lot(&self) -> f64 {
         rendezvous_score("claims", &self.host) as f64 / u64::MAX as f64
     }
 
--- a/crates/fleet/src/lease/rows.rs
+++ b/crates/fleet/src/lease/rows.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 /// Sets how long leases last.
@@ -16,7 +18,7 @@
 }
 
 /// Holds the lease of an entry host.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostLease {
     /// The entry host.
     pub holder: Arc<str>,
@@ -69,6 +71,26 @@
     pub ended: Vec<HostLease>,
     /// Leases that were ended before; only a condition, that the host has no new one.
     pub ended_before: Vec<HostLease>,
+    /// Leases of further hosts that it renews for them.
+    pub renewed: Vec<HostLease>,
+}
+
+impl LeaseWrite {
+    /// Renews leases of several hosts; `None` without any.
+    pub fn of_renewals(leases: impl IntoIterator<Item = HostLease>) -> Option<Self> {
+        let mut leases = leases.into_iter();
+        let host = leases.next()?;
+        let (claims, ended, ended_before) = (Vec::new(), Vec::new(), Vec::new());
+        Some(LeaseWrite { host, claims, ended, ended_before, renewed: leases.collect() })
+    }
+
+    /// Tells whether it only renews a lease that there is already.
+    pub fn is_renewal(&self) -> bool {
+        self.host.revision > 0
+            && self.claims.is_empty()
+            && self.ended.is_empty()
+            && self.ended_before.is_empty()
+    }
 }
 
 /// Answers what to do next about leases.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,8 @@
 //! | decide which orders an engine gets | [`EngineLedger`], [`Step`] |
 //! | let an engine's prompts be read in turn | [`ReadingOrder`], [`Turn`] |
 //! | own an engine's orders | [`LeaseBook`], [`LeaseNext`] |
-//! | choose who reads the store for a zone | [`watchers`], [`Hearsay`] |
+//! | choose who speaks to the store for a zone | [`watchers`], [`Hearsay`] |
+//! | renew the leases of a zone in one write | [`RenewalGroup`] |
 //! | remember which engine holds what | [`Grants`] |
 //! | share the budget of repeated sends | [`retry_budget`] |
 //! | pass on whole events of a stream | [`EventCutter`] |
@@ -33,6 +34,7 @@
 mod placement;
 mod prelude;
 mod reading;
+mod renewals;
 mod roster;
 mod shares;
 mod watch;
@@ -48,6 +50,7 @@
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use reading::{Prompt, PromptKey, ReadingOrder, Turn};
+pub use renewals::{COLLECT_TIME, RenewalGroup};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
 pub use shares::{retry_budget, slack_part};
 pub use watch::{Hearsay, PassedOn, followed, watchers};
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -17,7 +17,7 @@
 /// Watchers of a zone: one may fail without its followers turning to the store.
 const WATCHERS: usize = 2;
 /// Entry hosts of a zone from which watchers save more calls than they make.
-const ZONE_HOSTS_MIN: usize = 5;
+pub(crate) const ZONE_HOSTS_MIN: usize = 5;
 /// Between two rows that are passed on because a server holds other adapters.
 const HELD_INTERVAL: Duration = Duration::from_secs(5);
 
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -41,7 +41,7 @@
         let LeaseWrite { ended, ended_before, .. } = write;
         let (ended, ended_before) =
             if ends { (&ended[..], &ended_before[..]) } else { (&[][..], &[][..]) };
-        let hosts = std::iter::once(&write.host).chain(ended);
+        let hosts = std::iter::once(&write.host).chain(ended).chain(&write.renewed);
         let host_at = |row: &HostLease| self.hosts.get(&row.holder).map_or(0, |r| r.revision);
         let claim_at = |row: &Claim| self.claims.get(&row.engine).map_or(0, |r| r.revision);
         if hosts.clone().chain(ended_before).any(|row| host_at(row) != row.revision)
@@ -68,13 +68,31 @@
     }
 }
 
+/// A renewal that a delegate was asked for, and until when its host waits.
+type Asked = (usize, LeaseWrite, Duration, Duration);
+
+/// How a run is played.
+#[derive(Clone, Copy)]
+struct Rules {
+    times: LeaseTimes,
+    /// Whether who claims an engine ends the lease of its holder.
+    ends: bool,
+    /// Whether renewals go through a delegate.
+    delegates: bool,
+    /// Whether the delegate keeps the conditions of the rows that it writes.
+    keeps_conditions: bool,
+}
+
+const RULES: Rules = Rules { times: TIMES, ends: true, delegates: false, keeps_conditions: true };
+
 struct Late {
     at: Duration,
     write: LeaseWrite,
 }
 
 /// Plays one run and returns the orders that could have been given: when, by whom, fence.
-fn play(seed: u64, times: LeaseTimes, ends: bool) -> Vec<(Duration, usize, u64)> {
+fn play(seed: u64, rules: Rules) -> Vec<(Duration, usize, u64)> {
+    let Rules { times, ends, delegates, keeps_conditions } = rules;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut table = Table { revision: 100, ..Table::default() };
     let address = "10.0.0.1:80".parse().unwrap();
@@ -89,6 +107,10 @@
     let mut paused_until = [Duration::ZERO; HOSTS];
     let mut late: Vec<Late> = Vec::new();
     let mut orders = Vec::new();
+    // What the delegate was asked for; it may stand still, write late, or lose the answer.
+    let mut group: Vec<Asked> = Vec::new();
+    let mut waits_until = [Duration::ZERO; HOSTS];
+    let mut delegate_until = Duration::ZERO;
     let step = Duration::from_millis(50);
     for tick in 1..1_600u32 {
         let now = step * tick;
@@ -99,6 +121,31 @@
             }
             write.at > now
         });
+        if rng.random_ratio(1, 200) {
+            delegate_until = now + Duration::from_millis(rng.random_range(500..20_000));
+        }
+        if delegate_until <= now && rng.random_ratio(1, 4) && !group.is_empty() {
+            let asked = std::mem::take(&mut group);
+            let mut merged = LeaseWrite::of_renewals(asked.iter().map(|a| a.1.host.clone()));
+            if let Some(write) = merged.as_mut().filter(|_| !keeps_conditions) {
+                let rows = std::iter::once(&mut write.host).chain(&mut write.renewed);
+                for row in rows {
+                    row.revision = table.hosts.get(&row.holder).map_or(0, |r| r.revision);
+                }
+            }
+            let is_lost = rng.random_ratio(1, 10);
+            match merged.and_then(|write| table.write(&write, ends)) {
+                Some(revision) if !is_lost => {
+                    for (host, write, sent_at, until) in asked {
+                        if until > now && waits_until[host] == until {
+                            waits_until[host] = Duration::ZERO;
+                            books[host].on_written(write, revision, shown_ms, sent_at, now);
+                        }
+                    }
+                }
+                Some(_) | None => {}
+            }
+        }
         for host in 0..HOSTS {
             if rng.random_ratio(1, 400) {
                 cut_until[host] = now + Duration::from_millis(rng.random_range(500..16_000));
@@ -108,14 +155,22 @@
             }
             if rng.random_ratio(1, 800) {
                 books[host] = fresh(host);
+                waits_until[host] = Duration::ZERO;
             }
             if paused_until[host] > now {
                 continue;
             }
+            if waits_until[host] != Duration::ZERO && waits_until[host] <= now {
+                waits_until[host] = Duration::ZERO;
+                books[host].on_write_failed(now);
+            }
             let book = &mut books[host];
             if let Some(fence) = book.fence(ENGINE, now) {
                 orders.push((now, host, fence));
             }
+            if waits_until[host] > now {
+                continue;
+            }
             let is_cut = cut_until[host] > now;
             // An answer may be up to 300 ms old when it is read.
             let sent_at = now.saturating_sub(Duration::from_millis(rng.random_range(0..300)));
@@ -125,6 +180,13 @@
                 LeaseNext::Read(after) => {
                     book.on_read(table.read(after, shown_ms), after.is_none(), sent_at, now);
                 }
+                LeaseNext::Write(write)
+                    if delegates && write.is_renewal() && rng.random_ratio(4, 5) =>
+                {
+                    // The way to the delegate is another one than that to the store.
+                    waits_until[host] = now + Duration::from_secs(1);
+                    group.push((host, write, now, waits_until[host]));
+                }
                 LeaseNext::Write(_) if is_cut && rng.random_bool(0.5) => book.on_write_failed(now),
                 LeaseNext::Write(write) if is_cut || rng.random_ratio(1, 8) => {
                     // The write is done now or later, and its answer is lost.
@@ -165,26 +227,58 @@
 #[test]
 fn one_holder_in_ten_thousand_interleavings() {
     for seed in 0..10_000 {
-        if let Some(turn) = broken(&play(seed, TIMES, true)) {
+        if let Some(turn) = broken(&play(seed, RULES)) {
+            panic!("seed {seed}: {turn}");
+        }
+    }
+}
+
+const DELEGATED: Rules = Rules { delegates: true, ..RULES };
+
+/// A delegate that stands still with renewals in hand, writes them late, or loses the answer.
+#[test]
+fn one_holder_in_ten_thousand_interleavings_with_a_delegate() {
+    for seed in 0..10_000 {
+        if let Some(turn) = broken(&play(seed, DELEGATED)) {
             panic!("seed {seed}: {turn}");
         }
     }
 }
 
+#[test]
+fn without_the_condition_of_each_row_a_delegate_breaks_it() {
+    let rules = Rules { keeps_conditions: false, ..DELEGATED };
+    let broken = (0..2_000).filter(|seed| broken(&play(*seed, rules)).is_some()).count();
+    assert!(broken > 0);
+}
+
+#[test]
+fn without_ending_the_lease_of_the_holder_before_a_delegate_breaks_it() {
+    let rules = Rules { ends: false, ..DELEGATED };
+    assert!((0..2_000).any(|seed| broken(&play(seed, rules)).is_some()));
+}
+
+#[test]
+fn engines_are_owned_most_of_the_time_with_a_delegate() {
+    let ticks: usize = (0..200).map(|seed| play(seed, DELEGATED).len()).sum();
+    assert!(ticks > 200 * 1_600 / 2, "owned in {ticks} of {} ticks", 200 * 1_600);
+}
+
 #[test]
 fn without_the_rest_between_holders_it_breaks() {
     let times = LeaseTimes { quarantine: Duration::ZERO, ..TIMES };
-    assert!((0..500).any(|seed| broken(&play(seed, times, true)).is_some()));
+    let rules = Rules { times, ..RULES };
+    assert!((0..500).any(|seed| broken(&play(seed, rules)).is_some()));
 }
 
 #[test]
 fn without_ending_the_lease_of_the_holder_before_it_breaks() {
-    assert!((0..2_000).any(|seed| broken(&play(seed, TIMES, false)).is_some()));
+    assert!((0..2_000).any(|seed| broken(&play(seed, Rules { ends: false, ..RULES })).is_some()));
 }
 
 #[test]
 fn engines_are_owned_most_of_the_time() {
-    let ticks: usize = (0..200).map(|seed| play(seed, TIMES, true).len()).sum();
+    let ticks: usize = (0..200).map(|seed| play(seed, RULES).len()).sum();
     assert!(ticks > 200 * 1_600 / 2, "owned in {ticks} of {} ticks", 200 * 1_600);
 }
 
@@ -235,6 +329,7 @@
         claims: vec![],
         ended: vec![],
         ended_before: vec![],
+        renewed: vec![],
     };
     let mut book = book_of(0, 1);
     let claimed = (1..100).any(|tick| {
