Tell hosts of a zone which leases last

The delegate reads the table once a write and tells in its answers until when all leases last, but for those near their end, which it names: the size of that does not grow with the fleet. Who is told raises only what has not lapsed by its own knowledge, so that hearsay can only put a claim off.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -169,7 +169,8 @@
     }
 }
 
-async fn read_leases(entry: &Rc<Entry>, after: Option<u64>) {
+/// Reads the leases, or what changed of them.
+pub(crate) async fn read_leases(entry: &Rc<Entry>, after: Option<u64>) {
     let sent_at = entry.clock.now();
     let table = entry.borders.store.leases(after).await;
     let now = entry.clock.now();
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,7 +4,7 @@
 //! orders. Messages are postcard in length-delimited frames; several questions may be
 //! open on a connection, told apart by their numbers.
 
-use guavaspread_fleet::HostLease;
+use guavaspread_fleet::{HostLease, LeasesLast};
 use serde::{Deserialize, Serialize};
 
 use crate::border::{Feed, Listing};
@@ -51,12 +51,14 @@
 }
 
 /// What the store said of a renewal that it carried out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
     /// The revision of the write.
     pub revision: u64,
     /// The store's clock, in milliseconds.
     pub shown_ms: u64,
+    /// Which leases of other hosts last.
+    pub last: LeasesLast,
 }
 
 /// Passes on rows of a list, or only how old the host's knowledge is.
--- a/crates/entry/src/renewals.rs
+++ b/crates/entry/src/renewals.rs
@@ -4,6 +4,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::border::{StoreError, Written};
+use crate::follow;
 use crate::message::Renewal;
 use crate::prelude::*;
 use crate::state::Entry;
@@ -58,7 +59,8 @@
                 true => entry.renewals.join(entry, lease).await,
                 false => entry.peers.renew(address, lease, entry.clock).await,
             };
-            if let Some(Renewal { revision, shown_ms }) = renewal {
+            if let Some(Renewal { revision, shown_ms, last }) = renewal {
+                entry.leases.borrow_mut().on_leases_last(&last, entry.clock.now());
                 return Ok(Written::Done { revision, shown_ms });
             }
         }
@@ -92,8 +94,12 @@
     let taken = entry.renewals.group.borrow_mut().take(entry.clock.now());
     let (leases, askers): (Vec<_>, Vec<_>) = taken.into_iter().unzip();
     let Some(write) = LeaseWrite::of_renewals(leases) else { return };
+    // One look at the table stands for those of all who ask.
+    let after = entry.leases.borrow().revision();
+    follow::read_leases(entry, after).await;
+    let last = entry.leases.borrow().leases_last(entry.clock.now());
     let renewal = match entry.borders.store.write_leases(&write).await {
-        Ok(Written::Done { revision, shown_ms }) => Some(Renewal { revision, shown_ms }),
+        Ok(Written::Done { revision, shown_ms }) => Some(Renewal { revision, shown_ms, last }),
         Ok(Written::Conflict) => {
             log::info!("{} leases were not renewed together: one has changed", askers.len());
             None
@@ -105,6 +111,6 @@
     };
     for asker in askers {
         // Who asked may have given it up.
-        let _ = asker.send(renewal);
+        let _ = asker.send(renewal.clone());
     }
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -20,7 +20,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-pub use rows::{Claim, HostLease, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite};
+pub use rows::{Claim, HostLease, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite, LeasesLast};
 
 use crate::backoff::Backoff;
 use crate::prelude::*;
@@ -253,6 +253,38 @@
         self.heard_at.insert(holder.clone(), now);
     }
 
+    /// Returns the revision up to which the table is known.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Says which leases last, for hosts that do not read the table themselves.
+    pub fn leases_last(&self, now: Duration) -> LeasesLast {
+        let earliest_ms = self.earliest_ms(now);
+        let known_ms = earliest_ms + self.times.renew.as_millis() as u64 / 2;
+        let until_ms = self.hosts.values().map(|host| host.until_ms).filter(|ms| *ms >= known_ms);
+        let is_near_its_end = |host: &&HostLease| (earliest_ms..known_ms).contains(&host.until_ms);
+        let except = self.hosts.values().filter(is_near_its_end);
+        LeasesLast {
+            until_ms: until_ms.min().unwrap_or(0),
+            except: except.map(|host| host.holder.clone()).collect(),
+        }
+    }
+
+    /// Takes over from a host that reads the table which leases last.
+    ///
+    /// One that has lapsed, by what is known here, is not brought back by hearsay: its engines
+    /// may have gone to another host.
+    pub fn on_leases_last(&mut self, last: &LeasesLast, now: Duration) {
+        let earliest_ms = self.earliest_ms(now);
+        for host in self.hosts.values_mut() {
+            let lasts = host.until_ms >= earliest_ms && !last.except.contains(&host.holder);
+            if lasts && host.holder != self.host {
+                host.until_ms = host.until_ms.max(last.until_ms);
+            }
+        }
+    }
+
     /// Reports that another host was seen to hold an engine, as from its answer.
     pub fn on_doubt(&mut self) {
         self.stale = true;
--- a/crates/fleet/src/lease/rows.rs
+++ b/crates/fleet/src/lease/rows.rs
@@ -93,6 +93,15 @@
     }
 }
 
+/// Says of many leases that they last, without naming them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeasesLast {
+    /// Until then at least, in milliseconds of the store's clock.
+    pub until_ms: u64,
+    /// The hosts of which that is not known.
+    pub except: Vec<Arc<str>>,
+}
+
 /// Answers what to do next about leases.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseNext {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -44,7 +44,9 @@
 pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
 pub use events::EventCutter;
 pub use grants::{Grant, Grants};
-pub use lease::{Claim, HostLease, LeaseBook, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite};
+pub use lease::{
+    Claim, HostLease, LeaseBook, LeaseNext, LeaseTable, LeaseTimes, LeaseWrite, LeasesLast,
+};
 pub use ledger::EngineLedger;
 pub use notices::{Notices, Said, Standing};
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -489,3 +489,42 @@
         }
     }
 }
+
+/// The pattern of hundreds of hosts whose renewals nobody reads but their delegates.
+#[test]
+fn hosts_that_are_told_that_leases_last_do_not_read_the_table() {
+    let lease_ms = TIMES.lease.as_millis() as u64;
+    let claim = Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7 };
+    let table = |at_ms: u64, dead_ms: u64| LeaseTable {
+        hosts: vec![
+            host(0, STORE_OFFSET_MS + at_ms + lease_ms, 9),
+            host(1, STORE_OFFSET_MS + at_ms + lease_ms, 8),
+            host(2, STORE_OFFSET_MS + dead_ms + lease_ms, 8),
+        ],
+        claims: vec![claim.clone()],
+        revision: 9,
+        shown_ms: STORE_OFFSET_MS + at_ms,
+    };
+    let ms = Duration::from_millis;
+    let (mut reader, mut book) = (book_of(3, 1), book_of(4, 1));
+    book.on_read(table(0, 0), true, ms(0), ms(0));
+    // Host 2 has not renewed since, and is not said to last.
+    for at_ms in [5_000, 10_000, 15_000, 20_000] {
+        reader.on_read(table(at_ms, 0), true, ms(at_ms), ms(at_ms));
+        let last = reader.leases_last(ms(at_ms));
+        assert!(last.except.len() <= 1, "{last:?}");
+        book.on_leases_last(&last, ms(at_ms));
+    }
+    let now = ms(20_000);
+    let lasting: Vec<&str> = book
+        .hosts(now)
+        .filter(|host| host.until_ms > STORE_OFFSET_MS + 20_000)
+        .map(|host| &*host.holder)
+        .collect();
+    assert_eq!(lasting, ["host-0", "host-1"]);
+    // What has lapsed here is not brought back by hearsay.
+    let mut late = book_of(5, 1);
+    late.on_read(table(0, 0), true, ms(0), ms(0));
+    late.on_leases_last(&reader.leases_last(now), now);
+    assert!(late.hosts(now).all(|host| host.until_ms <= STORE_OFFSET_MS + 20_000));
+}
