Use no connection to a backend server twice

Cause: the dispatcher's client keeps connections, and an answer there has no id to tell it by: a server that sends a second copy of an answer, late, on a connection that is in use again gives the next run that answer (test: run 1 got run 0's). Runs, orders and looks now each have a connection of their own, as the gateway's plain requests had; entry hosts check ids instead.

--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -73,7 +73,7 @@
     async fn order(&self, path: &str, adapter: &AdapterVersion, fence: u64) -> Result<()> {
         let name = adapter.to_string();
         let req = self.client.post(format!("{}{path}", self.base));
-        let req = req.header(FENCE_HEADER, fence).timeout(Millis(ORDER_TIMEOUT_MS));
+        let req = req.header(FENCE_HEADER, fence).timeout(Millis(ORDER_TIMEOUT_MS)).force_close();
         let order = AdapterOrder { lora_name: &name, lora_path: &name };
         let res = req.send_json(&order).await.map_err(failed_send)?;
         match res.status() {
@@ -107,7 +107,8 @@
 
     async fn loaded(&self) -> Result<Vec<AdapterVersion>> {
         let req = self.client.get(format!("{}/v1/models", self.base));
-        let res = req.timeout(Millis(ORDER_TIMEOUT_MS)).send().await.map_err(failed_send)?;
+        let req = req.timeout(Millis(ORDER_TIMEOUT_MS)).force_close();
+        let res = req.send().await.map_err(failed_send)?;
         let body = res.body().await.map_err(|e| Error::new(ErrorCode::Broken, e))?;
         let list: ModelList =
             serde_json::from_slice(&body).map_err(|e| Error::new(ErrorCode::Broken, e))?;
@@ -121,6 +122,8 @@
         let mut out = self.client.request(method, format!("{}{}", self.base, req.path));
         out = out.header("x-request-id", format!("{:032x}", req.id));
         out = out.timeout(Millis(req.silence_ms));
+        // A late second copy of its answer would be taken for that of the next run.
+        out = out.force_close();
         if let Some(content_type) = &req.content_type {
             out = out.header(header::CONTENT_TYPE, content_type.as_str());
         }
