Break a stream off that has stood still for long instead of resuming it

Ruled out: prompts waiting for their turn (no record ends there).

A stream is resumed only while it has stood still for less than 1.2 s in all, the search included.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -33,6 +33,8 @@
     in_flight: Option<InFlight>,
     /// Finds another server for a stream that may go on there.
     resumer: Option<Box<Resumer>>,
+    /// When the last bytes came.
+    heard_at: Duration,
 }
 
 /// Where the next bytes come from.
@@ -99,8 +101,9 @@
         }
         let until = Box::pin(tokio::time::sleep(left));
         let source = Source::Server(body);
+        let heard_at = in_flight.now();
         let (record, in_flight) = (Some(record), Some(in_flight));
-        Relayed { source, until, status, record, in_flight, resumer }
+        Relayed { source, until, status, record, in_flight, resumer, heard_at }
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
@@ -135,6 +138,9 @@
         if is_end {
             self.end("whole");
         }
+        if let Some(in_flight) = &self.in_flight {
+            self.heard_at = in_flight.now();
+        }
         let Some(resumer) = &mut self.resumer else { return Next::Pass(Some(Ok(frame))) };
         let frame = match frame.into_data() {
             Ok(data) => data,
@@ -156,10 +162,11 @@
         if let Some(record) = &mut self.record {
             record.failed(Outcome::Unknown, detail);
         }
-        self.in_flight = None;
+        let now = self.in_flight.take().map_or(self.heard_at, |in_flight| in_flight.now());
         match (self.resumer.take(), self.record.take()) {
             (Some(resumer), Some(record)) => {
-                self.source = Source::Resuming(Box::pin(resumer.resume(record)));
+                let silence = now.saturating_sub(self.heard_at);
+                self.source = Source::Resuming(Box::pin(resumer.resume(record, silence)));
                 Next::Again
             }
             (_, record) => {
@@ -222,6 +229,10 @@
 }
 
 impl InFlight {
+    fn now(&self) -> Duration {
+        self.entry.clock.now()
+    }
+
     pub(crate) fn start(entry: &Rc<Entry>, key: PlacementKey) -> Self {
         entry.placement.borrow_mut().on_sent(key);
         InFlight { entry: entry.clone(), key, kept: Kept::default() }
--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -136,11 +136,6 @@
         self.time(tokens)
     }
 
-    /// Returns the prompts that wait.
-    pub fn waiting(&self) -> usize {
-        self.entries.values().filter(|entry| entry.sent.is_none()).count()
-    }
-
     /// Returns the tokens that may be read together.
     fn together(&self) -> f64 {
         let pauses = self.entries.values().filter_map(|entry| entry.prompt.pause);
