Split the links between entry hosts into questions, peers and their loops

Questions keeps what is open on a connection and says what follows a message; Peer answers one that has connected.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -156,6 +156,77 @@
     }
 }
 
+/// Holds the questions that are open on one connection.
+#[derive(Default)]
+struct Questions {
+    asked: HashMap<u32, Asker>,
+    renewals: HashMap<u32, oneshot::Sender<Option<Renewal>>>,
+    last: u32,
+}
+
+/// Tells what follows a peer's message.
+enum Next {
+    Listen,
+    Send(ToOwner),
+    /// It is none of what was asked for.
+    Close,
+}
+
+impl Questions {
+    /// Turns what this host has to say into a message; a question gets its number.
+    fn open(&mut self, outgoing: Outgoing) -> ToOwner {
+        match outgoing {
+            Outgoing::Ask(mut ask, asker) => {
+                ask.number = self.number();
+                self.asked.insert(ask.number, asker);
+                ToOwner::Ask(ask)
+            }
+            Outgoing::Renew(lease, asker) => {
+                let number = self.number();
+                self.renewals.retain(|_, asker| !asker.is_closed());
+                self.renewals.insert(number, asker);
+                ToOwner::Renew(RenewAsk { number, lease })
+            }
+            Outgoing::Read(number) => ToOwner::Read(number),
+            Outgoing::Done(number) => ToOwner::Done(number),
+        }
+    }
+
+    fn number(&mut self) -> u32 {
+        self.last = self.last.wrapping_add(1);
+        self.last
+    }
+
+    fn on_message(&mut self, message: FromOwner) -> Next {
+        match message {
+            FromOwner::Reply(reply) => self.on_reply(reply),
+            FromOwner::Renewed { number, renewal } => {
+                if let Some(asker) = self.renewals.remove(&number) {
+                    // Who asked may have given it up.
+                    let _ = asker.send(renewal);
+                }
+                Next::Listen
+            }
+            FromOwner::News(_) => Next::Close,
+        }
+    }
+
+    /// Passes an answer on; what was granted to one who has left is given back.
+    fn on_reply(&mut self, Reply { number, answer }: Reply) -> Next {
+        let unwanted = match self.asked.get(&number) {
+            Some(asker) => asker.try_send((answer, number)).is_err(),
+            None => true,
+        };
+        if answer != Answer::Loading {
+            self.asked.remove(&number);
+        }
+        match answer {
+            Answer::Granted { .. } if unwanted => Next::Send(ToOwner::Done(number)),
+            _ => Next::Listen,
+        }
+    }
+}
+
 /// Drives one connection until it breaks or its last user is gone.
 async fn run_link(address: SocketAddr, mut outgoing: mpsc::Receiver<Outgoing>) {
     let stream = match connect(address).await {
@@ -166,60 +237,31 @@
         }
     };
     let mut framed = Framed::new(stream, codec());
-    let mut open: HashMap<u32, Asker> = HashMap::new();
-    let mut renewals: HashMap<u32, oneshot::Sender<Option<Renewal>>> = HashMap::new();
-    let mut number: u32 = 0;
+    let mut questions = Questions::default();
     loop {
-        tokio::select! {
-            message = outgoing.recv() => {
-                let message = match message {
-                    None => return,
-                    Some(Outgoing::Renew(lease, asker)) => {
-                        number = number.wrapping_add(1);
-                        renewals.retain(|_, asker| !asker.is_closed());
-                        renewals.insert(number, asker);
-                        ToOwner::Renew(RenewAsk { number, lease })
-                    }
-                    Some(Outgoing::Read(number)) => ToOwner::Read(number),
-                    Some(Outgoing::Done(number)) => ToOwner::Done(number),
-                    Some(Outgoing::Ask(mut ask, reply)) => {
-                        number = number.wrapping_add(1);
-                        ask.number = number;
-                        open.insert(number, reply);
-                        ToOwner::Ask(ask)
-                    }
-                };
-                if framed.send(self::frame(&message)).await.is_err() {
+        let next = tokio::select! {
+            outgoing = outgoing.recv() => match outgoing {
+                Some(outgoing) => Next::Send(questions.open(outgoing)),
+                None => return,
+            },
+            frame = framed.next() => match frame {
+                Some(Ok(frame)) => match postcard::from_bytes(&frame) {
+                    Ok(message) => questions.on_message(message),
+                    Err(_) => Next::Close,
+                },
+                Some(Err(_)) | None => return,
+            },
+        };
+        match next {
+            Next::Listen => {}
+            Next::Send(message) => {
+                if framed.send(frame(&message)).await.is_err() {
                     return;
                 }
             }
-            frame = framed.next() => {
-                let Some(Ok(frame)) = frame else { return };
-                let Reply { number, answer } = match postcard::from_bytes(&frame) {
-                    Ok(FromOwner::Reply(reply)) => reply,
-                    Ok(FromOwner::Renewed { number, renewal }) => {
-                        if let Some(asker) = renewals.remove(&number) {
-                            // Who asked may have given it up.
-                            let _ = asker.send(renewal);
-                        }
-                        continue;
-                    }
-                    Ok(FromOwner::News(_)) | Err(_) => {
-                        log::warn!("entry host {address} sent what was not asked for");
-                        return;
-                    }
-                };
-                let unwanted = match open.get(&number) {
-                    Some(asker) => asker.try_send((answer, number)).is_err(),
-                    None => true,
-                };
-                if answer != Answer::Loading {
-                    open.remove(&number);
-                }
-                let unused = unwanted && matches!(answer, Answer::Granted { .. });
-                if unused && framed.send(self::frame(&ToOwner::Done(number))).await.is_err() {
-                    return;
-                }
+            Next::Close => {
+                log::warn!("entry host {address} sent what was not asked for");
+                return;
             }
         }
     }
@@ -253,62 +295,79 @@
             }
         }
     });
-    // What this peer's requests use; all of it ends with the connection.
-    let uses: Rc<RefCell<HashMap<u32, Use>>> = Rc::default();
+    let peer = Peer { entry, tx, uses: Rc::default() };
     while let Some(Ok(received)) = frames.next().await {
         match postcard::from_bytes::<ToOwner>(&received) {
-            Ok(ToOwner::Ask(ask)) => {
-                let (entry, tx, uses) = (entry.clone(), tx.clone(), uses.clone());
-                tokio::task::spawn_local(async move {
-                    let number = ask.number;
-                    let waits = tx.clone();
-                    let on_wait = move || {
-                        let loading = Reply { number, answer: Answer::Loading };
-                        if waits.try_send(frame(&FromOwner::Reply(loading))).is_err() {
-                            log::debug!("a peer was not told that a load takes time");
-                        }
-                    };
-                    let (answer, granted) = entry.orders.answer(&entry, &ask, on_wait).await;
-                    if let Some(granted) = granted {
-                        uses.borrow_mut().insert(number, granted);
-                    }
-                    let reply = FromOwner::Reply(Reply { number, answer });
-                    if tx.send(frame(&reply)).await.is_err() {
-                        uses.borrow_mut().remove(&number);
-                    }
-                });
+            Ok(message) => peer.on_message(message),
+            Err(e) => {
+                log::warn!("a peer sent what can't be read: {e}");
+                break;
+            }
+        }
+    }
+    peer.uses.borrow_mut().clear();
+    drop(peer);
+    // The writer ends with its connection.
+    let _ = writer.await;
+}
+
+/// Holds what a peer that has connected is answered with.
+#[derive(Clone)]
+struct Peer {
+    entry: Rc<Entry>,
+    tx: mpsc::Sender<Bytes>,
+    /// What its requests use; all of it ends with the connection.
+    uses: Rc<RefCell<HashMap<u32, Use>>>,
+}
+
+impl Peer {
+    fn on_message(&self, message: ToOwner) {
+        match message {
+            ToOwner::Ask(ask) => {
+                tokio::task::spawn_local(self.clone().answer(ask));
             }
-            Ok(ToOwner::Read(number)) => {
-                if let Some(used) = uses.borrow().get(&number) {
-                    used.on_read(entry.clock.now());
+            ToOwner::Read(number) => {
+                if let Some(used) = self.uses.borrow().get(&number) {
+                    used.on_read(self.entry.clock.now());
                 }
             }
-            Ok(ToOwner::Done(number)) => {
-                uses.borrow_mut().remove(&number);
+            ToOwner::Done(number) => {
+                self.uses.borrow_mut().remove(&number);
             }
-            Ok(ToOwner::Renew(RenewAsk { number, lease })) => {
-                let (entry, tx) = (entry.clone(), tx.clone());
-                tokio::task::spawn_local(async move {
-                    let renewal = entry.renewals.join(&entry, lease).await;
-                    let renewed = FromOwner::Renewed { number, renewal };
-                    if tx.send(frame(&renewed)).await.is_err() {
-                        log::debug!("a peer that asked for a renewal has left");
-                    }
-                });
+            ToOwner::Renew(ask) => {
+                tokio::task::spawn_local(self.clone().renew(ask));
             }
-            Ok(ToOwner::Watch) => {
-                tokio::task::spawn_local(relays::pass_on(entry.clone(), tx.clone()));
+            ToOwner::Watch => {
+                tokio::task::spawn_local(relays::pass_on(self.entry.clone(), self.tx.clone()));
             }
-            Err(e) => {
-                log::warn!("a peer sent what can't be read: {e}");
-                break;
+        }
+    }
+
+    async fn answer(self, ask: Ask) {
+        let number = ask.number;
+        let on_wait = || {
+            let loading = Reply { number, answer: Answer::Loading };
+            if self.tx.try_send(frame(&FromOwner::Reply(loading))).is_err() {
+                log::debug!("a peer was not told that a load takes time");
             }
+        };
+        let (answer, granted) = self.entry.orders.answer(&self.entry, &ask, on_wait).await;
+        if let Some(granted) = granted {
+            self.uses.borrow_mut().insert(number, granted);
+        }
+        let reply = FromOwner::Reply(Reply { number, answer });
+        if self.tx.send(frame(&reply)).await.is_err() {
+            self.uses.borrow_mut().remove(&number);
+        }
+    }
+
+    async fn renew(self, RenewAsk { number, lease }: RenewAsk) {
+        let renewal = self.entry.renewals.join(&self.entry, lease).await;
+        let renewed = FromOwner::Renewed { number, renewal };
+        if self.tx.send(frame(&renewed)).await.is_err() {
+            log::debug!("a peer that asked for a renewal has left");
         }
     }
-    uses.borrow_mut().clear();
-    drop(tx);
-    // The writer ends with its connection.
-    let _ = writer.await;
 }
 
 /// Encodes a message.
