Tell a server's end from a broken connection, and say under which content it came

What the logs could not tell: whether two requests were the same, and whether a server ended under a request or only its connection broke.

A broken connection is followed up by the pure Endings: a probe that is refused or answered by another server, a new start or a row that goes behind a closed connection show an end; a server that answers by its name, leaves as announced or is merely silent does not. Nothing is sent elsewhere than before.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -3,13 +3,14 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use guavaspread_fleet::{Outcome, PlacementKey};
+use guavaspread_fleet::{Break, Outcome, PlacementKey, Server};
+use guavaspread_model::ContentId;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 use tokio::time::Sleep;
 
 use crate::access::Kept;
-use crate::channel::AnswerBody;
+use crate::channel::{AnswerBody, is_silence};
 use crate::prelude::*;
 use crate::record::Record;
 use crate::resume::{Resumed, Resumer, Resuming};
@@ -112,7 +113,7 @@
                 Source::Server(body) => match Pin::new(body).poll_frame(cx) {
                     Poll::Ready(Some(Ok(frame))) => self.on_frame(frame),
                     Poll::Ready(None) => self.on_whole(),
-                    Poll::Ready(Some(Err(e))) => self.on_lost(e.to_string()),
+                    Poll::Ready(Some(Err(e))) => self.on_lost(&e),
                     Poll::Pending => Next::Wait,
                 },
                 Source::Resuming(resuming) => match resuming.as_mut().poll(cx) {
@@ -158,9 +159,12 @@
     }
 
     /// Closes the lost server's connection, and looks for another one where that is allowed.
-    fn on_lost(&mut self, detail: String) -> Next {
+    fn on_lost(&mut self, e: &hyper::Error) -> Next {
         if let Some(record) = &mut self.record {
-            record.failed(Outcome::Unknown, detail);
+            record.failed(Outcome::Unknown, e.to_string());
+        }
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.on_broken(if is_silence(e) { Break::Silent } else { Break::Closed });
         }
         let now = self.in_flight.take().map_or(self.heard_at, |in_flight| in_flight.now());
         match (self.resumer.take(), self.record.take()) {
@@ -226,16 +230,31 @@
     entry: Rc<Entry>,
     key: PlacementKey,
     pub(crate) kept: Kept,
+    /// What runs where, once it is sent.
+    pub(crate) run: Option<Run>,
+}
+
+/// A content that a server runs.
+pub(crate) struct Run {
+    pub(crate) server: Arc<Server>,
+    pub(crate) content: ContentId,
 }
 
 impl InFlight {
+    /// Reports that the server's connection was lost before the answer was whole.
+    pub(crate) fn on_broken(&self, how: Break) {
+        if let Some(Run { server, content }) = &self.run {
+            self.entry.on_broken(server, *content, how);
+        }
+    }
+
     fn now(&self) -> Duration {
         self.entry.clock.now()
     }
 
     pub(crate) fn start(entry: &Rc<Entry>, key: PlacementKey) -> Self {
         entry.placement.borrow_mut().on_sent(key);
-        InFlight { entry: entry.clone(), key, kept: Kept::default() }
+        InFlight { entry: entry.clone(), key, kept: Kept::default(), run: None }
     }
 }
 
--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -10,7 +10,8 @@
     AdapterId, Catalog, HeldModel, LeaseTable, LeaseWrite, LoadReport, Order, OrderResult, Said,
     Server,
 };
-use http::{HeaderMap, StatusCode, request};
+use http::{HeaderMap, Request, StatusCode, request};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -213,6 +214,9 @@
     /// Rewrites the headers of a caller's request for a server.
     fn prepare(&self, headers: &mut HeaderMap, sending: &Sending<'_>);
 
+    /// Makes a question for how a server is, that no other server at its address answers as it.
+    fn probe(&self, server: &Server, path: &str) -> Request<Full<Bytes>>;
+
     /// Reads the head of a server's answer.
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 }
--- a/crates/entry/src/channel.rs
+++ b/crates/entry/src/channel.rs
@@ -100,10 +100,14 @@
 
 impl Channel {
     async fn open(address: SocketAddr) -> Result<Self, SendError> {
-        let not_sent = |e: &dyn std::fmt::Display| SendError::NotSent(e.to_string());
-        let stream = connect(address).await.map_err(|e| not_sent(&e))?;
+        let stream = connect(address).await.map_err(|e| SendError::NotSent(e.to_string()))?;
+        Channel::over(stream, address).await
+    }
+
+    async fn over(stream: TcpStream, address: SocketAddr) -> Result<Self, SendError> {
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|e| not_sent(&e))?;
+        let (sender, connection) =
+            handshake.await.map_err(|e| SendError::NotSent(e.to_string()))?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(e) = connection.await {
                 log::debug!("a connection to {address} ended: {e}");
@@ -117,13 +121,36 @@
             Ok(res) => Ok(res),
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
-                let detail = e.into_error().to_string();
-                Err(if unsent { SendError::NotSent(detail) } else { SendError::Unknown(detail) })
+                let e = e.into_error();
+                Err(match unsent {
+                    true => SendError::NotSent(e.to_string()),
+                    false if is_silence(&e) => SendError::Silent(USER_TIMEOUT),
+                    false => SendError::Unknown(e.to_string()),
+                })
             }
         }
     }
 }
 
+/// Tells whether a connection ended because nothing came back, rather than by the other side.
+pub(crate) fn is_silence(e: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(e).and_then(|e| e.downcast_ref::<std::io::Error>());
+    cause.is_some_and(|e| e.kind() == std::io::ErrorKind::TimedOut)
+}
+
+/// Sends a question over a connection of its own; `Err` tells why there is none.
+pub(crate) async fn ask_once(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> std::io::Result<Result<http::response::Parts, SendError>> {
+    let stream = connect(address).await?;
+    let mut channel = match Channel::over(stream, address).await {
+        Ok(channel) => channel,
+        Err(e) => return Ok(Err(e)),
+    };
+    Ok(channel.send(req).await.map(|res| res.into_parts().0))
+}
+
 /// Tells the connections of two servers apart that had the same address.
 type ServerKey = (SocketAddr, Arc<str>);
 
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -1,6 +1,6 @@
 //! Callers' connections, and the pages for the load balancer and for metrics.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -39,8 +39,8 @@
 pub(crate) async fn serve_callers(entry: Rc<Entry>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_caller(entry.clone(), stream));
+            Ok((stream, caller)) => {
+                tokio::task::spawn_local(serve_caller(entry.clone(), stream, caller.ip()));
             }
             Err(e) => {
                 log::warn!("a caller's connection was not accepted: {e}");
@@ -50,14 +50,14 @@
     }
 }
 
-async fn serve_caller(entry: Rc<Entry>, stream: TcpStream) {
+async fn serve_caller(entry: Rc<Entry>, stream: TcpStream, caller: IpAddr) {
     if let Err(e) = set_options(&stream) {
         log::debug!("a caller's connection takes no options: {e}");
     }
     let limits = entry.catalog.borrow().as_ref().map(|c| c.limits).unwrap_or_default();
     let mut stopping = entry.stopping.subscribe();
     let stops = *stopping.borrow_and_update();
-    let handler = service_fn(move |req| relay::handle(entry.clone(), req));
+    let handler = service_fn(move |req| relay::handle(entry.clone(), caller, req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts the time between two requests as part of the second one's head.
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -1,6 +1,8 @@
 //! What has to hold before a request is sent anywhere.
 
-use guavaspread_model::{Code, Refusal};
+use std::net::IpAddr;
+
+use guavaspread_model::{Code, ContentId, Refusal};
 use http::{header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -28,6 +30,7 @@
 /// Finds the route of a request and reads its body.
 pub(crate) async fn prepare(
     entry: &Rc<Entry>,
+    caller: IpAddr,
     head: request::Parts,
     body: Incoming,
     record: &mut Record,
@@ -69,11 +72,14 @@
         Err(_) => return Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
     };
     entry.on_request(&service);
+    let content = content_of(caller, &host, &head, &body);
+    record.content = Some(content);
     Ok(Call {
         entry: entry.clone(),
         route,
         service,
         asked,
+        content,
         head,
         body,
         due,
@@ -82,6 +88,23 @@
     })
 }
 
+/// Names what the caller asks for: who it is, where it asks, and what it sends. The rest of the
+/// head may differ each time it asks again.
+fn content_of(caller: IpAddr, host: &str, head: &request::Parts, body: &Bytes) -> ContentId {
+    let address = caller.to_string();
+    let key = head.headers.get(header::AUTHORIZATION).map_or(&b""[..], |key| key.as_bytes());
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let method = head.method.as_str();
+    ContentId::of(&[
+        address.as_bytes(),
+        key,
+        method.as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
+
 fn host_of(head: &request::Parts) -> Option<String> {
     let host = match head.uri.host() {
         Some(host) => host,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod resume;
 mod settings;
 mod state;
+mod suspects;
 
 pub use border::{
     AnswerHead, Asked, Borders, Dialect, EngineReport, Engines, Feed, Listing, Platform, Sending,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -17,6 +17,13 @@
     pub(crate) own: String,
 }
 
+/// Labels of a server's end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EndedBy {
+    /// What showed it.
+    pub(crate) evidence: &'static str,
+}
+
 /// Holds the process's metrics.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -28,6 +35,7 @@
     pub(crate) retries_denied: Counter,
     pub(crate) orders: Counter,
     pub(crate) unreadable_rows: Counter,
+    pub(crate) servers_ended: Family<EndedBy, Counter>,
 }
 
 /// From 2 ms, doubled, to 16 s: a relay's shortest answer to beyond the longest deadline.
@@ -47,6 +55,7 @@
             retries_denied: Counter::default(),
             orders: Counter::default(),
             unreadable_rows: Counter::default(),
+            servers_ended: Family::default(),
         };
         let r = &mut metrics.registry;
         r.register("requests", "Requests ended", metrics.ended.clone());
@@ -69,6 +78,11 @@
         );
         r.register("orders", "Orders to engines", metrics.orders.clone());
         r.register("unreadable_rows", "Rows that can't be read", metrics.unreadable_rows.clone());
+        r.register(
+            "servers_ended",
+            "Requests under which a server ended, by what showed it",
+            metrics.servers_ended.clone(),
+        );
         metrics
     }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -97,6 +97,7 @@
         leases: RefCell::new(leases),
         leases_changed: Notify::new(),
         orders: Orders::default(),
+        endings: RefCell::default(),
         retries: RefCell::default(),
         holders: Cell::new(0),
         stopping: watch::Sender::new(false),
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -4,6 +4,7 @@
 //! [`SAMPLE`] has, so that the volume stays bounded under load.
 
 use guavaspread_fleet::Outcome;
+use guavaspread_model::ContentId;
 use guavaspread_telemetry::OBJECT_TARGET;
 use serde::Serialize;
 
@@ -43,6 +44,7 @@
     service: &'a str,
     model: Option<&'a str>,
     adapter: Option<&'a str>,
+    content: Option<String>,
     config: u64,
     status: u16,
     code: Option<u16>,
@@ -63,6 +65,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) model: Option<Arc<str>>,
     pub(crate) adapter: Option<Arc<str>>,
+    /// What the caller asked for, the same each time it asks again.
+    pub(crate) content: Option<ContentId>,
     /// The numbered code, if the answer is this host's own.
     pub(crate) code: Option<u16>,
     config: u64,
@@ -83,6 +87,7 @@
             service: "".into(),
             model: None,
             adapter: None,
+            content: None,
             code: None,
             config: entry.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version),
             steps: Vec::new(),
@@ -136,6 +141,7 @@
             service: &self.service,
             model: self.model.as_deref(),
             adapter: self.adapter.as_deref(),
+            content: self.content.map(|content| content.to_string()),
             config: self.config,
             status,
             code: self.code,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,18 +1,19 @@
 //! Carries one request to a backend server and its answer back.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 
 use guavaspread_fleet::{
-    AdapterId, Attempts, Outcome, Pick, PlacementKey, Prompt, RequestClass, Route, Server,
+    AdapterId, Attempts, Break, Outcome, Pick, PlacementKey, Prompt, RequestClass, Route, Server,
     Standing, Verdict,
 };
-use guavaspread_model::Refusal;
+use guavaspread_model::{ContentId, Refusal};
 use http::{Request, Response, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, Kept, Want};
-use crate::body::{InFlight, RelayBody, Relayed};
+use crate::body::{InFlight, RelayBody, Relayed, Run};
 use crate::border::{AnswerHead, Asked, Sending};
 use crate::channel::{Answered, SendError};
 use crate::headers::strip_hop_by_hop;
@@ -44,11 +45,12 @@
 /// Answers a caller's request.
 pub(crate) async fn handle(
     entry: Rc<Entry>,
+    caller: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
     let mut record = Record::new(&entry);
     let (head, body) = req.into_parts();
-    match prepare(&entry, head, body, &mut record).await {
+    match prepare(&entry, caller, head, body, &mut record).await {
         Ok(call) => Ok(call.run(record).await),
         Err(refusal) => Ok(answer_refusal(record, &refusal)),
     }
@@ -66,6 +68,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) asked: Asked,
+    /// Names what the caller asks for.
+    pub(crate) content: ContentId,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     /// When its answer should have begun.
@@ -342,7 +346,8 @@
         let left = self.until.saturating_sub(started);
         let left_ms = left.as_millis() as u64;
         record.add(Step::Sent { server: server.id.clone(), version, left_ms });
-        let in_flight = InFlight::start(&self.entry, key);
+        let mut in_flight = InFlight::start(&self.entry, key);
+        in_flight.run = Some(Run { server: server.clone(), content: self.content });
         let req = self.request(server, version, left);
         let sending = self.entry.pool.send(server.address, &server.id, req, self.entry.clock);
         let sent = tokio::time::timeout(left + LIMIT_MARGIN, sending).await;
@@ -356,6 +361,11 @@
             Ok(Err(e)) => {
                 let outcome = if unreached { Outcome::NotSent } else { Outcome::Unknown };
                 record.failed(outcome, e.to_string());
+                match e {
+                    SendError::NotSent(_) => {}
+                    SendError::Unknown(_) => in_flight.on_broken(Break::Closed),
+                    SendError::Silent(_) => in_flight.on_broken(Break::Silent),
+                }
                 let mut placement = self.entry.placement.borrow_mut();
                 placement.on_failed(key, now);
                 if unreached {
@@ -365,6 +375,7 @@
             }
             Err(_) => {
                 record.failed(Outcome::Unknown, "no answer in time".to_owned());
+                in_flight.on_broken(Break::Silent);
                 self.entry.placement.borrow_mut().on_failed(key, now);
                 return Attempt::Failed(Outcome::Unknown, None);
             }
@@ -428,6 +439,7 @@
         record.failed(Outcome::Refused, format!("refused with {status}"));
         if answer.is_other_server(&server.id) {
             // The address belongs to another server by now.
+            self.entry.on_other_server(server);
             self.entry.placement.borrow_mut().on_unreachable(key, now);
             self.entry.pool.close(&server.id);
             return Attempt::Failed(Outcome::Refused, None);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,8 +1,8 @@
 //! What the tasks of an entry host share; all run on one thread.
 
 use guavaspread_fleet::{
-    AdapterId, Catalog, Grants, LeaseBook, Placement, Roster, RosterChange, Said, Server, Standing,
-    retry_budget, slack_part,
+    AdapterId, Catalog, Endings, Grants, LeaseBook, Placement, Roster, RosterChange, Said, Server,
+    Standing, retry_budget, slack_part,
 };
 use guavaspread_placement::RetryBudget;
 use tokio::sync::{Notify, watch};
@@ -44,6 +44,8 @@
     pub(crate) leases: RefCell<LeaseBook>,
     pub(crate) leases_changed: Notify,
     pub(crate) orders: Orders,
+    /// Connections that broke, until it is known whether their servers ended.
+    pub(crate) endings: RefCell<Endings>,
     pub(crate) retries: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// Entry hosts that hold leases, by the last look at the store.
     pub(crate) holders: Cell<usize>,
@@ -91,6 +93,8 @@
     pub(crate) fn on_roster(self: &Rc<Self>, changes: Vec<RosterChange>) {
         let mut engines_changed = false;
         for change in changes {
+            let endings = self.endings.borrow_mut().on_change(&change, self.clock.now());
+            self.on_endings(endings);
             match change {
                 RosterChange::Started(server) => {
                     log::info!("server {} of {} started", server.id, server.service);
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -119,6 +119,8 @@
     pub name: Arc<str>,
     /// Connections that one server takes from all callers together.
     pub connections_max: u32,
+    /// The path at which a server tells how it is.
+    pub health_path: Arc<str>,
     /// How its model engines are built, if it has any.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! | choose who speaks to the store for a zone | [`watchers`], [`Hearsay`] |
 //! | renew the leases of a zone in one write | [`RenewalGroup`] |
 //! | remember which engine holds what | [`Grants`] |
+//! | tell which requests servers ended under | [`Endings`], [`Ending`] |
 //! | share the budget of repeated sends | [`retry_budget`] |
 //! | pass on whole events of a stream | [`EventCutter`] |
 //! | tell a failure that another server may make good | [`Attempts`], [`Verdict`] |
@@ -25,6 +26,7 @@
 mod attempts;
 mod backoff;
 mod catalog;
+mod endings;
 mod events;
 mod grants;
 mod lease;
@@ -42,6 +44,7 @@
 pub use attempts::{Attempts, Outcome, Verdict};
 pub use backoff::Backoff;
 pub use catalog::{Catalog, EngineSpec, Limits, ModelSpec, RequestClass, Route, Service, Target};
+pub use endings::{AfterBreak, Break, Ending, Endings, Evidence, Probe};
 pub use events::EventCutter;
 pub use grants::{Grant, Grants};
 pub use lease::{
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 //! | know what operators declared | [`Config`], [`Change`] |
 //! | know which machines exist | [`Host`], [`HostKind`], [`HostState`] |
 //! | rank hosts for a key | [`rendezvous_score`] |
+//! | know a request when it comes again | [`ContentId`] |
 //!
 //! ```
 //! use guavaspread_model::AdapterVersion;
@@ -22,6 +23,7 @@
 
 mod code;
 mod config;
+mod content;
 mod error;
 mod hash;
 mod host;
@@ -34,6 +36,7 @@
     Adapter, Change, Config, DEFAULT_CLASS, KeyHash, Organisation, Priority, RequestClass, Service,
     ServiceRoute,
 };
+pub use content::ContentId;
 pub use error::{Category, Error, Result};
 pub use hash::{content_hash, rendezvous_score};
 pub use host::{Host, HostKind, HostState};
