Hold content under which three servers ended, at all entry hosts

What callers saw: a request that ends each server that begins to run it was sent to server after server, for as long as it came again; the sound requests on these servers were lost with it.

Cause: every attempt was judged alone. Nothing kept what a request had done to the servers before.

Now servers' ends are counted by content (caller, path, body) over all hosts. Behind the third the content is refused at once, 503 with code 1310 and the time that is left; then it is let through once, on one server, by one host's leave, with longer holds behind each trial that fails (30 s, 5 min, 1 h, 1 day). An answer that came to its end clears the count everywhere. What hosts tell each other is merged by the start of the server that ended, so it may come late, twice or from several. Each content is counted by two hosts in each zone, which tell their zone from the second end on; a host that starts asks others. 503 and not 422: the refused attempt has not run, and content under three unlucky servers must not be told that it is at fault.

Probes now follow each other at once.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -99,6 +99,7 @@
     ) -> Self {
         if body.is_end_stream() {
             record.end(status, "whole", false);
+            in_flight.on_whole();
         }
         let until = Box::pin(tokio::time::sleep(left));
         let source = Source::Server(body);
@@ -137,7 +138,7 @@
     fn on_frame(&mut self, frame: Frame<Bytes>) -> Next {
         let is_end = matches!(&self.source, Source::Server(body) if body.is_end_stream());
         if is_end {
-            self.end("whole");
+            self.end_whole();
         }
         if let Some(in_flight) = &self.in_flight {
             self.heard_at = in_flight.now();
@@ -152,7 +153,7 @@
     }
 
     fn on_whole(&mut self) -> Next {
-        self.end("whole");
+        self.end_whole();
         self.source = Source::Ended;
         let rest = self.resumer.as_mut().map(|resumer| resumer.events.finish());
         Next::Pass(rest.filter(|rest| !rest.is_empty()).map(|rest| Ok(Frame::data(rest))))
@@ -195,6 +196,13 @@
         Next::Pass(Some(Err(BrokenOff)))
     }
 
+    fn end_whole(&mut self) {
+        self.end("whole");
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.on_whole();
+        }
+    }
+
     fn end(&mut self, end: &'static str) {
         if let Some(record) = &mut self.record {
             record.end(self.status, end, false);
@@ -241,6 +249,13 @@
 }
 
 impl InFlight {
+    /// Reports that the server's answer is whole.
+    fn on_whole(&self) {
+        if let Some(Run { content, .. }) = &self.run {
+            self.entry.on_whole(*content);
+        }
+    }
+
     /// Reports that the server's connection was lost before the answer was whole.
     pub(crate) fn on_broken(&self, how: Break) {
         if let Some(Run { server, content }) = &self.run {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod state;
 mod suspects;
+mod word;
 
 pub use border::{
     AnswerHead, Asked, Borders, Dialect, EngineReport, Engines, Feed, Listing, Platform, Sending,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -4,10 +4,12 @@
 //! orders. Messages are postcard in length-delimited frames; several questions may be
 //! open on a connection, told apart by their numbers.
 
-use guavaspread_fleet::{HostLease, LeasesLast};
+use guavaspread_fleet::{ContentNote, HostLease, LeasesLast};
+use guavaspread_model::ContentId;
 use serde::{Deserialize, Serialize};
 
 use crate::border::{Feed, Listing};
+use crate::prelude::*;
 
 /// What an entry host sends to the owner of an engine's orders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +25,8 @@
     Renew(RenewAsk),
     /// Asks for all that the host learns from the store.
     Watch,
+    /// Says under which contents servers ended.
+    Crashes(CrashNews),
 }
 
 /// What an entry host sends back.
@@ -39,6 +43,32 @@
         /// What the store said.
         renewal: Option<Renewal>,
     },
+    /// Answers what was said of contents.
+    Crashes(CrashReply),
+}
+
+/// Says what the sender knows of contents under which servers ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// Tells the answer apart from others on the connection.
+    pub number: u32,
+    /// What is known.
+    pub notes: Vec<ContentNote>,
+    /// The content for which a trial is asked.
+    pub trial: Option<ContentId>,
+    /// Set to the sender's name by one that has started and knows nothing yet.
+    pub new_host: Option<Arc<str>>,
+}
+
+/// Answers [`CrashNews`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReply {
+    /// The number of the question.
+    pub number: u32,
+    /// What is known beyond what was said.
+    pub notes: Vec<ContentNote>,
+    /// Whether the trial is granted.
+    pub is_granted: bool,
 }
 
 /// Asks for the renewal of a lease.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,6 +36,9 @@
     pub(crate) orders: Counter,
     pub(crate) unreadable_rows: Counter,
     pub(crate) servers_ended: Family<EndedBy, Counter>,
+    pub(crate) contents_held: Gauge,
+    pub(crate) requests_held: Counter,
+    pub(crate) trials: Counter,
 }
 
 /// From 2 ms, doubled, to 16 s: a relay's shortest answer to beyond the longest deadline.
@@ -56,6 +59,9 @@
             orders: Counter::default(),
             unreadable_rows: Counter::default(),
             servers_ended: Family::default(),
+            contents_held: Gauge::default(),
+            requests_held: Counter::default(),
+            trials: Counter::default(),
         };
         let r = &mut metrics.registry;
         r.register("requests", "Requests ended", metrics.ended.clone());
@@ -83,6 +89,21 @@
             "Requests under which a server ended, by what showed it",
             metrics.servers_ended.clone(),
         );
+        r.register(
+            "contents_held",
+            "Contents held, as servers ended under them",
+            metrics.contents_held.clone(),
+        );
+        r.register(
+            "requests_held",
+            "Requests refused, as their content is held",
+            metrics.requests_held.clone(),
+        );
+        r.register(
+            "trials",
+            "Requests let through to see whether servers still end under their content",
+            metrics.trials.clone(),
+        );
         metrics
     }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,7 +10,9 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::channel::{connect, set_options};
-use crate::message::{Answer, Ask, FromOwner, RenewAsk, Renewal, Reply, ToOwner};
+use crate::message::{
+    Answer, Ask, CrashNews, CrashReply, FromOwner, RenewAsk, Renewal, Reply, ToOwner,
+};
 use crate::orders::Use;
 use crate::prelude::*;
 use crate::relays;
@@ -31,6 +33,8 @@
 /// How long a delegate may take to renew a lease: it waits for other hosts' renewals, and the
 /// store for its table's other writes.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a peer may take to take word of contents over.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a peer that said nothing is not asked again.
 const SILENT_FOR: Duration = Duration::from_millis(1_500);
 
@@ -42,6 +46,7 @@
     Read(u32),
     Done(u32),
     Renew(HostLease, oneshot::Sender<Option<Renewal>>),
+    Crashes(CrashNews, oneshot::Sender<CrashReply>),
 }
 
 /// Keeps a connection to each peer that was asked.
@@ -138,6 +143,26 @@
         }
     }
 
+    /// Tells the host at `address` of contents under which servers ended; `None` if it does not
+    /// answer.
+    pub(crate) async fn tell(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        news: CrashNews,
+        clock: Clock,
+    ) -> Option<CrashReply> {
+        let silent_until = self.silent_until.borrow().get(&address).copied();
+        if silent_until.is_some_and(|until| clock.now() < until) {
+            return None;
+        }
+        let (asker, answer) = oneshot::channel();
+        self.link(address).try_send(Outgoing::Crashes(news, asker)).ok()?;
+        match tokio::time::timeout(TELL_TIMEOUT, answer).await {
+            Ok(Ok(reply)) => Some(reply),
+            Ok(Err(_)) | Err(_) => None,
+        }
+    }
+
     /// Rests from a peer; the next question opens another connection.
     fn on_silent(&self, address: SocketAddr, clock: Clock) {
         self.links.borrow_mut().remove(&address);
@@ -161,6 +186,7 @@
 struct Questions {
     asked: HashMap<u32, Asker>,
     renewals: HashMap<u32, oneshot::Sender<Option<Renewal>>>,
+    told: HashMap<u32, oneshot::Sender<CrashReply>>,
     last: u32,
 }
 
@@ -187,6 +213,12 @@
                 self.renewals.insert(number, asker);
                 ToOwner::Renew(RenewAsk { number, lease })
             }
+            Outgoing::Crashes(mut news, asker) => {
+                news.number = self.number();
+                self.told.retain(|_, asker| !asker.is_closed());
+                self.told.insert(news.number, asker);
+                ToOwner::Crashes(news)
+            }
             Outgoing::Read(number) => ToOwner::Read(number),
             Outgoing::Done(number) => ToOwner::Done(number),
         }
@@ -207,6 +239,13 @@
                 }
                 Next::Listen
             }
+            FromOwner::Crashes(reply) => {
+                if let Some(asker) = self.told.remove(&reply.number) {
+                    // Who told may have given it up.
+                    let _ = asker.send(reply);
+                }
+                Next::Listen
+            }
             FromOwner::News(_) => Next::Close,
         }
     }
@@ -337,6 +376,12 @@
             ToOwner::Renew(ask) => {
                 tokio::task::spawn_local(self.clone().renew(ask));
             }
+            ToOwner::Crashes(news) => {
+                let reply = FromOwner::Crashes(self.entry.on_crash_news(news));
+                if self.tx.try_send(frame(&reply)).is_err() {
+                    log::debug!("a peer that told of contents gets no answer");
+                }
+            }
             ToOwner::Watch => {
                 tokio::task::spawn_local(relays::pass_on(self.entry.clone(), self.tx.clone()));
             }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -19,6 +19,7 @@
 use crate::renewals::Renewals;
 use crate::settings::EntrySettings;
 use crate::state::Entry;
+use crate::word::{self, Word};
 use crate::{follow, front, peers, renewals};
 
 /// How long a lease lasts: longer than most outages of the store, so that loads go on.
@@ -55,13 +56,14 @@
     let shown = entry.clone();
     spawn_local(front::serve_page(ready, move || front::readiness(&shown)));
     let shown = entry.clone();
-    spawn_local(front::serve_page(metrics, move || (StatusCode::OK, shown.metrics.text())));
+    spawn_local(front::serve_page(metrics, move || (StatusCode::OK, shown.metrics_text())));
     spawn_local(peers::serve(entry.clone(), peer_listener));
     spawn_local(follow::follow(entry.clone(), Feed::Control));
     spawn_local(follow::follow(entry.clone(), Feed::Servers));
     spawn_local(follow::hold_leases(entry.clone()));
     spawn_local(relays::subscribe(entry.clone()));
     spawn_local(renewals::write(entry.clone()));
+    spawn_local(word::spread(entry.clone()));
     spawn_local(sweep(entry.clone()));
     spawn_local(watch_settings(entry.clone(), path));
     let mut term = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
@@ -98,6 +100,8 @@
         leases_changed: Notify::new(),
         orders: Orders::default(),
         endings: RefCell::default(),
+        quarantine: RefCell::default(),
+        word: Word::default(),
         retries: RefCell::default(),
         holders: Cell::new(0),
         stopping: watch::Sender::new(false),
@@ -109,7 +113,9 @@
 async fn sweep(entry: Rc<Entry>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
-        entry.pool.sweep(entry.clock.now());
+        let now = entry.clock.now();
+        entry.pool.sweep(now);
+        entry.quarantine.borrow_mut().expire(now);
     }
 }
 
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -31,6 +31,8 @@
     Failed { outcome: &'static str, detail: String },
     /// The server was lost; another one goes on behind that event.
     Resumes { behind: Option<Arc<str>> },
+    /// Servers ended under its content, which is held for so long.
+    Held { left_ms: u64 },
     /// The retry budget allowed no further send.
     NoBudget,
     /// No server takes work.
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -16,6 +16,8 @@
 const RETRY_LOADED_MARGIN_MS: u32 = 200;
 /// When to come back to full engines: about the time in which half of a batch ends.
 const RETRY_FULL_MS: u32 = 300;
+/// When to come back at the earliest with content that is held.
+const RETRY_HELD_MIN_MS: u32 = 5_000;
 /// When to come back to a host that has no configuration yet, and finds others ready.
 const RETRY_NOT_READY_MS: u32 = 500;
 
@@ -65,6 +67,17 @@
     may_have_run()
 }
 
+/// Refuses content under which servers ended, for as long as it is held.
+pub(crate) fn held(attempts: &Attempts, left: Duration) -> Refusal {
+    if attempts.is_not_run() {
+        // Coming back at once helps nobody.
+        let wait_ms = (left.as_millis() as u32).max(RETRY_HELD_MIN_MS);
+        return Refusal::not_run(Code::ContentHeld, "servers ended under this content")
+            .retry_after_ms(wait_ms);
+    }
+    Refusal::maybe_ran(Code::BackendCrashed, "servers ended under this content")
+}
+
 fn may_have_run() -> Refusal {
     Refusal::maybe_ran(Code::BackendFailed, "the server failed without an answer")
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,8 +4,8 @@
 use std::net::IpAddr;
 
 use guavaspread_fleet::{
-    AdapterId, Attempts, Break, Outcome, Pick, PlacementKey, Prompt, RequestClass, Route, Server,
-    Standing, Verdict,
+    AdapterId, Attempts, Break, Outcome, Passage, Pick, PlacementKey, Prompt, RequestClass, Route,
+    Server, Standing, Verdict,
 };
 use guavaspread_model::{ContentId, Refusal};
 use http::{Request, Response, header, request};
@@ -20,10 +20,11 @@
 use crate::intake::prepare;
 use crate::prelude::*;
 use crate::record::{Record, Step};
-use crate::refusals::{all_full, budget_spent, no_server, not_loaded, out_of_time, unknown};
+use crate::refusals::{all_full, budget_spent, held, no_server, not_loaded, out_of_time, unknown};
 use crate::respond::refuse;
 use crate::resume::Resumer;
 use crate::state::Entry;
+use crate::word;
 
 /// How long past its limit an answer is still awaited: the server stops at the limit too,
 /// and what it says then is the better answer.
@@ -96,6 +97,8 @@
     /// The version of the adapter that the run before was on, if there was one.
     version: Option<u64>,
     missed: bool,
+    /// Whether it is let through once, though servers ended under its content.
+    is_trial: bool,
     full: u32,
     /// A server's own failure is the better answer than one of this host.
     failure: Option<Box<Answered>>,
@@ -152,6 +155,11 @@
             if self.until < self.entry.clock.now() + LEFT_MIN {
                 return Sent::GivenUp(out_of_time(&progress.attempts));
             }
+            if let Some(left) = self.held_for(progress).await {
+                self.entry.metrics.requests_held.inc();
+                record.add(Step::Held { left_ms: left.as_millis() as u64 });
+                return Sent::GivenUp(held(&progress.attempts, left));
+            }
             let ((key, server), version, kept) = match self.find(progress, record).await {
                 Found::Server(choice, version, kept) => (choice, version, kept),
                 Found::Next => continue,
@@ -194,6 +202,32 @@
         }
     }
 
+    /// Tells for how long the request is held, as servers ended under its content.
+    async fn held_for(&self, progress: &mut Progress) -> Option<Duration> {
+        if self.entry.quarantine.borrow().is_empty() {
+            return None;
+        }
+        if progress.is_trial {
+            return (!progress.attempts.is_not_run()).then_some(Duration::ZERO);
+        }
+        if !progress.attempts.is_not_run() {
+            // Its own last attempt counts, once it is known what became of the server.
+            word::await_probe(&self.entry, self.content).await;
+        }
+        let passage = self.entry.quarantine.borrow().passage(self.content, self.entry.clock.now());
+        match passage {
+            Passage::Open => None,
+            Passage::Held(left) => Some(left),
+            Passage::Trial => match word::ask_trial(&self.entry, self.content).await {
+                Ok(()) => {
+                    progress.is_trial = true;
+                    None
+                }
+                Err(left) => Some(left),
+            },
+        }
+    }
+
     /// Looks for a server that may be sent the request.
     async fn find(&self, progress: &mut Progress, record: &mut Record) -> Found {
         let now = self.entry.clock.now();
--- a/crates/entry/src/relays.rs
+++ b/crates/entry/src/relays.rs
@@ -272,7 +272,8 @@
     while let Some(Ok(frame)) = framed.next().await {
         match postcard::from_bytes(&frame) {
             Ok(FromOwner::News(news)) => entry.relays.on_news(&entry, address, news),
-            Ok(FromOwner::Reply(_) | FromOwner::Renewed { .. }) | Err(_) => {
+            Ok(FromOwner::Reply(_) | FromOwner::Renewed { .. } | FromOwner::Crashes(_))
+            | Err(_) => {
                 log::warn!("watcher {address} sent what was not asked for");
                 return;
             }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,8 +1,8 @@
 //! What the tasks of an entry host share; all run on one thread.
 
 use guavaspread_fleet::{
-    AdapterId, Catalog, Endings, Grants, LeaseBook, Placement, Roster, RosterChange, Said, Server,
-    Standing, retry_budget, slack_part,
+    AdapterId, Catalog, Endings, Grants, LeaseBook, Placement, Quarantine, Roster, RosterChange,
+    Said, Server, Standing, retry_budget, slack_part,
 };
 use guavaspread_placement::RetryBudget;
 use tokio::sync::{Notify, watch};
@@ -16,6 +16,7 @@
 use crate::relays::Relays;
 use crate::renewals::Renewals;
 use crate::settings::EntrySettings;
+use crate::word::Word;
 
 /// Holds the newest version of an adapter.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +47,9 @@
     pub(crate) orders: Orders,
     /// Connections that broke, until it is known whether their servers ended.
     pub(crate) endings: RefCell<Endings>,
+    /// Contents under which servers ended.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) word: Word,
     pub(crate) retries: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// Entry hosts that hold leases, by the last look at the store.
     pub(crate) holders: Cell<usize>,
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -23,8 +23,8 @@
         let next = self.endings.borrow_mut().on_broken(server, is_leaving, (content, how), now);
         match next {
             AfterBreak::Ended(ending) => self.on_endings(vec![ending]),
-            AfterBreak::ProbeAt(at) => {
-                tokio::task::spawn_local(probe(self.clone(), server.clone(), at));
+            AfterBreak::Probe => {
+                tokio::task::spawn_local(probe(self.clone(), server.clone()));
             }
             AfterBreak::Wait => {}
             AfterBreak::Planned => {
@@ -41,10 +41,20 @@
 
     /// Takes over that servers ended under requests.
     pub(crate) fn on_endings(&self, endings: Vec<Ending>) {
-        for Ending { content, server, born, evidence } in endings {
-            let evidence = evidence_name(evidence);
+        let now = self.clock.now();
+        for ending in endings {
+            let Ending { content, server, born, evidence } = &ending;
+            let evidence = evidence_name(*evidence);
             self.metrics.servers_ended.get_or_create(&EndedBy { evidence }).inc();
-            log::warn!("server {server} of {born} ended under content {content}: {evidence}");
+            let is_news = self.quarantine.borrow_mut().on_end(&ending, now);
+            let count = self.quarantine.borrow().ends(*content);
+            log::warn!(
+                "server {server} of {born} ended under content {content}: {evidence}; {count} in all"
+            );
+            if is_news {
+                self.word.on_change();
+                self.log_hold(*content, "here");
+            }
         }
     }
 }
@@ -58,18 +68,18 @@
     }
 }
 
-/// Probes a server, and once more while further connections to it break.
-async fn probe(entry: Rc<Entry>, server: Arc<Server>, at: Duration) {
-    let mut next = Some(at);
-    while let Some(at) = next {
-        tokio::time::sleep(at.saturating_sub(entry.clock.now())).await;
+/// Probes a server, again and again while further connections to it break.
+async fn probe(entry: Rc<Entry>, server: Arc<Server>) {
+    let mut is_due = true;
+    while is_due {
         let began = entry.clock.now();
         let found = look_at(&entry, &server).await;
         log::info!("server {} was probed after a connection broke: {found:?}", server.id);
         let now = entry.clock.now();
-        let (endings, again_at) = entry.endings.borrow_mut().on_probe(&server, found, began, now);
+        let (endings, again) = entry.endings.borrow_mut().on_probe(&server, found, began, now);
         entry.on_endings(endings);
-        next = again_at;
+        entry.word.on_probed();
+        is_due = again;
     }
 }
 
--- a/crates/fleet/src/endings.rs
+++ b/crates/fleet/src/endings.rs
@@ -21,8 +21,6 @@
 /// How soon after the connection broke a server has to answer to be known to live: one that
 /// ended takes longer to start again.
 const RESTART_MIN: Duration = Duration::from_millis(150);
-/// Between two probes of a server that lives: many connections may break at once.
-const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Servers with broken connections that are remembered, and such connections of one server.
 const SERVERS_MAX: usize = 1_024;
 const BREAKS_MAX: usize = 256;
@@ -80,8 +78,8 @@
 pub enum AfterBreak {
     /// The server is known to have ended.
     Ended(Ending),
-    /// Its address is to be probed at that moment.
-    ProbeAt(Duration),
+    /// Its address is to be probed.
+    Probe,
     /// A probe is under way already.
     Wait,
     /// Nothing: it leaves, as it said that it would.
@@ -93,6 +91,8 @@
     content: ContentId,
     how: Break,
     at: Duration,
+    /// Whether a server by its name answered since.
+    lives: bool,
 }
 
 /// One start of a server, whose connections broke.
@@ -102,7 +102,6 @@
     broken: Vec<Broken>,
     ended: Option<Evidence>,
     is_probed: bool,
-    probed_at: Option<Duration>,
     touched_at: Duration,
 }
 
@@ -138,7 +137,6 @@
             broken: Vec::new(),
             ended: None,
             is_probed: false,
-            probed_at: None,
             touched_at: now,
         });
         suspect.touched_at = now;
@@ -147,39 +145,46 @@
             return AfterBreak::Ended(Ending { content, server, born, evidence });
         }
         if suspect.broken.len() < BREAKS_MAX {
-            suspect.broken.push(Broken { content, how, at: now });
+            suspect.broken.push(Broken { content, how, at: now, lives: false });
         }
         if std::mem::replace(&mut suspect.is_probed, true) {
             return AfterBreak::Wait;
         }
-        AfterBreak::ProbeAt(suspect.probed_at.map_or(now, |at| now.max(at + PROBE_PAUSE)))
+        AfterBreak::Probe
     }
 
-    /// Reports what a probe found that began at `began`; a further one may be due.
+    /// Reports what a probe found that began at `began`; the flag asks for a further one.
     pub fn on_probe(
         &mut self,
         server: &Server,
         probe: Probe,
         began: Duration,
         now: Duration,
-    ) -> (Vec<Ending>, Option<Duration>) {
+    ) -> (Vec<Ending>, bool) {
         let start = (server.id.clone(), server.born);
-        let Some(suspect) = self.suspects.get_mut(&start) else { return (Vec::new(), None) };
+        let Some(suspect) = self.suspects.get_mut(&start) else { return (Vec::new(), false) };
         suspect.is_probed = false;
-        suspect.probed_at = Some(now);
         let evidence = match probe {
             Probe::Refused => Evidence::Refused,
             Probe::Other => Evidence::Replaced,
             Probe::Same => {
                 let lived = |broken: &Broken| broken.at <= began && now < broken.at + RESTART_MIN;
                 suspect.broken.retain(|broken| !lived(broken));
-                let has_later = suspect.broken.iter().any(|broken| broken.at > began);
-                suspect.is_probed = has_later;
-                return (Vec::new(), has_later.then_some(now + PROBE_PAUSE));
+                for broken in &mut suspect.broken {
+                    broken.lives |= broken.at <= began;
+                }
+                suspect.is_probed = suspect.broken.iter().any(|broken| broken.at > began);
+                return (Vec::new(), suspect.is_probed);
             }
-            Probe::Silent => return (Vec::new(), None),
+            Probe::Silent => return (Vec::new(), false),
         };
-        (self.ended(&start, evidence, now), None)
+        (self.ended(&start, evidence, now), false)
+    }
+
+    /// Tells whether a probe is under way that may show an end under a content.
+    pub fn is_in_doubt(&self, content: ContentId) -> bool {
+        let mut probed = self.suspects.values().filter(|suspect| suspect.is_probed);
+        probed.any(|suspect| suspect.broken.iter().any(|broken| broken.content == content))
     }
 
     /// Reports that another server answered a request at the server's address.
@@ -219,10 +224,15 @@
 
     fn ended(&mut self, start: &Start, evidence: Evidence, now: Duration) -> Vec<Ending> {
         let Some(suspect) = self.suspects.get_mut(start) else { return Vec::new() };
-        // A row also goes while its server is cut off, which keeps it silent.
-        let proves = |how: Break| evidence != Evidence::RowGone || how == Break::Closed;
+        let proves = |broken: &&Broken| match evidence {
+            // It may have been the next start that answered.
+            Evidence::Restarted => true,
+            Evidence::Refused | Evidence::Replaced => !broken.lives,
+            // A row also goes while its server is cut off, which keeps it silent.
+            Evidence::RowGone => !broken.lives && broken.how == Break::Closed,
+        };
         let broken = std::mem::take(&mut suspect.broken);
-        let recent = broken.iter().filter(|b| now < b.at + PROOF_TIME && proves(b.how));
+        let recent = broken.iter().filter(|b| now < b.at + PROOF_TIME).filter(proves);
         let ending = |b: &Broken| Ending {
             content: b.content,
             server: start.0.clone(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! | renew the leases of a zone in one write | [`RenewalGroup`] |
 //! | remember which engine holds what | [`Grants`] |
 //! | tell which requests servers ended under | [`Endings`], [`Ending`] |
+//! | hold content that ends servers | [`Quarantine`], [`Passage`] |
 //! | share the budget of repeated sends | [`retry_budget`] |
 //! | pass on whole events of a stream | [`EventCutter`] |
 //! | tell a failure that another server may make good | [`Attempts`], [`Verdict`] |
@@ -35,6 +36,7 @@
 mod order;
 mod placement;
 mod prelude;
+mod quarantine;
 mod reading;
 mod renewals;
 mod roster;
@@ -54,6 +56,7 @@
 pub use notices::{Notices, Said, Standing};
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
+pub use quarantine::{ContentNote, KnownContent, Passage, Quarantine, counters};
 pub use reading::{Prompt, PromptKey, ReadingOrder, Turn};
 pub use renewals::{COLLECT_TIME, RenewalGroup};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
--- /dev/null
+++ b/crates/fleet/src/quarantine.rs
@@ -0,0 +1,318 @@
+//! Content that ends the servers that run it.
+//!
+//! Answers the pattern of a request that ends each server that begins to run it and comes
+//! again and again, at any entry host: each repeat by itself looks like a sound request whose
+//! server failed. Servers' ends are counted by content over all hosts. Behind the third one
+//! the content is held: it is refused at once, everywhere, until the hold runs out. Then it is
+//! let through once, on one server, as a trial; if that server ends too, the next hold is
+//! longer by far.
+//!
+//! Servers also end for reasons of their own, and take sound content with them. An answer that
+//! came to its end shows that the content is sound: its count starts anew, on all hosts.
+//!
+//! What hosts tell each other is merged, not added: a server's end is known by the server's
+//! start, so that hearing of it twice, late, or from two hosts changes nothing.
+
+use guavaspread_model::{ContentId, content_hash, rendezvous_score};
+use serde::{Deserialize, Serialize};
+
+use crate::endings::Ending;
+use crate::lease::HostLease;
+use crate::prelude::*;
+
+/// Servers that end under content before it is held.
+const ENDS_MAX: usize = 3;
+/// How long it is held behind the third end, the fourth, and so on: a trial that fails costs a
+/// server with all that it runs.
+const HOLDS: [Duration; 4] = [
+    Duration::from_secs(30),
+    Duration::from_secs(5 * 60),
+    Duration::from_secs(60 * 60),
+    Duration::from_secs(24 * 60 * 60),
+];
+/// Ends from which on hosts that don't count the content hear of it.
+const ENDS_TOLD: usize = 2;
+/// How long content is remembered behind the last end under it, if it is not held for longer.
+const KEPT_FOR: Duration = Duration::from_secs(60 * 60);
+/// Contents that are remembered.
+const RECORDS_MAX: usize = 4_096;
+/// Ends that are remembered of one content: copies of it may run at many servers at once.
+const ENDS_KEPT: usize = 64;
+/// Entry hosts of a zone that count a content: one may fail.
+const COUNTERS: usize = 2;
+
+/// Tells whether content may be sent to servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passage {
+    /// It may.
+    Open,
+    /// It is held for so long.
+    Held(Duration),
+    /// It may be let through once, if the host that grants trials agrees.
+    Trial,
+}
+
+/// One server's end under a content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct End {
+    /// Names the server's start.
+    start: u64,
+    at: Duration,
+}
+
+/// What is known of one content.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    ends: Vec<End>,
+    /// Starts of servers whose ends no longer count, since the content has run to its end.
+    cleared: Vec<u64>,
+    trials: u32,
+    last_trial_at: Option<Duration>,
+    touched_at: Duration,
+    /// Grows with each change of what is known here.
+    revision: u64,
+    /// Whether some of it was first known here.
+    is_own: bool,
+}
+
+/// Lists a content, for those who tell other hosts of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownContent {
+    /// The content.
+    pub content: ContentId,
+    /// Grows with each change of what is known here.
+    pub revision: u64,
+    /// Whether some of that was first known here, so that the hosts that count hear it from here.
+    pub is_own: bool,
+    /// Whether hosts have to hear of it that don't count it.
+    pub is_for_all: bool,
+}
+
+/// Says what one host knows of a content; times are ages, as hosts' clocks differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContentNote {
+    /// The content.
+    pub content: ContentId,
+    /// Ends of servers under it: the name of the server's start, and the age in milliseconds.
+    pub ends: Vec<(u64, u64)>,
+    /// Starts of servers whose ends no longer count.
+    pub cleared: Vec<u64>,
+    /// Trials granted, and the last one's age in milliseconds.
+    pub trials: (u32, u64),
+}
+
+/// Counts the ends of servers under contents, and holds those that go on ending them.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    records: BTreeMap<ContentId, Record>,
+}
+
+impl Record {
+    /// Returns the end of the hold, if the content is held or was.
+    fn held_until(&self) -> Option<Duration> {
+        let last = self.ends.iter().map(|end| end.at).max()?;
+        let further = self.ends.len().checked_sub(ENDS_MAX)?;
+        let hold = |n: usize| HOLDS.get(n).or(HOLDS.last()).copied().unwrap_or_default();
+        let by_ends = last + hold(further);
+        // A trial of which nothing was heard counts like one that failed.
+        let by_trial = self.last_trial_at.map(|at| at + hold(self.trials as usize));
+        Some(by_ends.max(by_trial.unwrap_or_default()))
+    }
+
+    fn add_end(&mut self, start: u64, at: Duration) -> bool {
+        let is_known =
+            self.cleared.contains(&start) || self.ends.iter().any(|end| end.start == start);
+        if is_known || self.ends.len() >= ENDS_KEPT {
+            return false;
+        }
+        self.ends.push(End { start, at });
+        self.touched_at = self.touched_at.max(at);
+        self.revision += 1;
+        true
+    }
+
+    /// Takes back the ends of these starts.
+    fn clear(&mut self, starts: impl IntoIterator<Item = u64>, now: Duration) -> bool {
+        let mut is_news = false;
+        for start in starts {
+            if !self.cleared.contains(&start) && self.cleared.len() < ENDS_KEPT {
+                self.cleared.push(start);
+                is_news = true;
+            }
+        }
+        if is_news {
+            self.revision += 1;
+            let cleared = &self.cleared;
+            self.ends.retain(|end| !cleared.contains(&end.start));
+            self.touched_at = self.touched_at.max(now);
+            if self.ends.len() < ENDS_MAX {
+                self.trials = 0;
+                self.last_trial_at = None;
+            }
+        }
+        is_news
+    }
+
+    fn is_forgotten(&self, now: Duration) -> bool {
+        let held_until = self.held_until().unwrap_or_default();
+        now >= held_until && now >= held_until.max(self.touched_at) + KEPT_FOR
+    }
+}
+
+impl Quarantine {
+    /// Tells whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Counts the contents that are held.
+    pub fn held(&self, now: Duration) -> usize {
+        let held = |record: &&Record| record.held_until().is_some_and(|until| until > now);
+        self.records.values().filter(held).count()
+    }
+
+    /// Returns how many servers are known to have ended under the content.
+    pub fn ends(&self, content: ContentId) -> usize {
+        self.records.get(&content).map_or(0, |record| record.ends.len())
+    }
+
+    /// Takes over that a server ended under a content; tells whether that is news.
+    pub fn on_end(&mut self, ending: &Ending, now: Duration) -> bool {
+        let start = content_hash(format!("{}@{}", ending.server, ending.born).as_bytes());
+        let record = self.record(ending.content, now);
+        let is_news = record.add_end(start, now);
+        record.is_own |= is_news;
+        is_news
+    }
+
+    /// Takes over that a content has run to its end; tells whether any end was counted.
+    pub fn on_whole(&mut self, content: ContentId, now: Duration) -> bool {
+        let Some(record) = self.records.get_mut(&content) else { return false };
+        let starts: Vec<u64> = record.ends.iter().map(|end| end.start).collect();
+        let is_news = record.clear(starts, now);
+        record.is_own |= is_news;
+        is_news
+    }
+
+    /// Tells whether a content may be sent to servers.
+    pub fn passage(&self, content: ContentId, now: Duration) -> Passage {
+        let Some(record) = self.records.get(&content) else { return Passage::Open };
+        match record.held_until() {
+            None => Passage::Open,
+            Some(until) if until > now => Passage::Held(until - now),
+            Some(_) => Passage::Trial,
+        }
+    }
+
+    /// Decides whether a content is let through once; what follows waits for what comes of it.
+    pub fn grant_trial(&mut self, content: ContentId, now: Duration) -> bool {
+        match self.passage(content, now) {
+            Passage::Open => true,
+            Passage::Held(_) => false,
+            Passage::Trial => {
+                let record = self.record(content, now);
+                let failed = record.ends.len().saturating_sub(ENDS_MAX) as u32;
+                record.trials = record.trials.max(failed) + 1;
+                record.last_trial_at = Some(now);
+                record.revision += 1;
+                record.is_own = true;
+                true
+            }
+        }
+    }
+
+    /// Takes over what another host knows; tells whether any of it is news.
+    pub fn merge(&mut self, note: &ContentNote, now: Duration) -> bool {
+        let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
+        let record = self.record(note.content, now);
+        let mut is_news = record.clear(note.cleared.iter().copied(), now);
+        for (start, age_ms) in &note.ends {
+            is_news |= record.add_end(*start, at(*age_ms));
+        }
+        let (trials, age_ms) = note.trials;
+        if trials > record.trials && record.ends.len() >= ENDS_MAX {
+            record.trials = trials;
+            record.last_trial_at = record.last_trial_at.max(Some(at(age_ms)));
+            record.revision += 1;
+            is_news = true;
+        }
+        is_news
+    }
+
+    /// Says what is known of a content.
+    pub fn note(&self, content: ContentId, now: Duration) -> Option<ContentNote> {
+        let record = self.records.get(&content)?;
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        Some(ContentNote {
+            content,
+            ends: record.ends.iter().map(|end| (end.start, age_ms(end.at))).collect(),
+            cleared: record.cleared.clone(),
+            trials: (record.trials, record.last_trial_at.map_or(0, age_ms)),
+        })
+    }
+
+    /// Tells whether more is known here than a note says.
+    pub fn knows_more(&self, note: &ContentNote) -> bool {
+        let Some(record) = self.records.get(&note.content) else { return false };
+        let is_told = |start: u64| {
+            note.cleared.contains(&start) || note.ends.iter().any(|(told, _)| *told == start)
+        };
+        record.trials > note.trials.0
+            || record.ends.iter().any(|end| !is_told(end.start))
+            || record.cleared.iter().any(|start| !note.cleared.contains(start))
+    }
+
+    /// Lists the contents.
+    pub fn contents(&self) -> impl Iterator<Item = KnownContent> {
+        self.records.iter().map(|(content, record)| KnownContent {
+            content: *content,
+            revision: record.revision,
+            is_own: record.is_own,
+            is_for_all: record.ends.len() >= ENDS_TOLD || !record.cleared.is_empty(),
+        })
+    }
+
+    /// Forgets what has not come up for long.
+    pub fn expire(&mut self, now: Duration) {
+        self.records.retain(|_, record| !record.is_forgotten(now));
+    }
+
+    fn record(&mut self, content: ContentId, now: Duration) -> &mut Record {
+        if !self.records.contains_key(&content) && self.records.len() >= RECORDS_MAX {
+            self.expire(now);
+            // A flood of contents that end one server each must not free those that are held.
+            let least = self.records.iter().min_by_key(|(_, r)| (r.ends.len(), r.touched_at));
+            if let Some(least) = least.map(|(content, _)| *content)
+                && self.records.len() >= RECORDS_MAX
+            {
+                self.records.remove(&least);
+            }
+        }
+        let fresh = Record { touched_at: now, ..Record::default() };
+        self.records.entry(content).or_insert(fresh)
+    }
+}
+
+/// Ranks the hosts of each zone that count the ends under a content: those first that come
+/// first for it over all zones.
+///
+/// Hosts that know of other leases choose otherwise, and tell some hosts more.
+pub fn counters<'a>(
+    content: ContentId,
+    hosts: impl Iterator<Item = &'a HostLease>,
+) -> Vec<&'a HostLease> {
+    let name = content.to_string();
+    let mut ranked: Vec<(u64, &HostLease)> =
+        hosts.map(|host| (rendezvous_score(&name, &host.holder), host)).collect();
+    ranked.sort_by(|a, b| (b.0, &b.1.holder).cmp(&(a.0, &a.1.holder)));
+    let mut of_zone: HashMap<&str, usize> = HashMap::new();
+    let mut counters: Vec<&HostLease> = Vec::new();
+    for (_, host) in ranked {
+        let chosen = of_zone.entry(&host.zone).or_default();
+        if *chosen < COUNTERS {
+            *chosen += 1;
+            counters.push(host);
+        }
+    }
+    counters
+}
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -77,6 +77,8 @@
     ConfigInDoubt = 1308, 503, "the configuration is in doubt here";
     /// The retry budget is spent.
     RetryBudgetSpent = 1309, 503, "the retry budget is spent";
+    /// Backend servers ended under this content, which is held back for a time.
+    ContentHeld = 1310, 503, "backend servers ended under this content; it is held back";
     /// The backend server ended the answer early.
     Cut = 1401, 502, "the answer was cut short";
     /// The backend server failed.
