Find a server's end while it still takes connections, and tell hosts that nobody has read of

A server that ends closes its connections one by one and may still take the probe's; that counted as no answer, for good. Such probes are now repeated after 20, 80 and 250 ms, and from the second repeat on a request waits for them before it is sent again. - Word reached no other host where no engine needs an owner: the table of leases is then read once, at the start. Who has something to tell now reads what changed of it, at most every 3 s, and goes by the last read while the store is away. - A host that starts again let content through until it had asked others. It now says that it is ready once it has asked, or after a second without an answer.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -204,7 +204,8 @@
 
     /// Tells for how long the request is held, as servers ended under its content.
     async fn held_for(&self, progress: &mut Progress) -> Option<Duration> {
-        if self.entry.quarantine.borrow().is_empty() {
+        let sent = progress.attempts.sent();
+        if self.entry.quarantine.borrow().is_empty() && sent < 2 {
             return None;
         }
         if progress.is_trial {
@@ -212,7 +213,7 @@
         }
         if !progress.attempts.is_not_run() {
             // Its own last attempt counts, once it is known what became of the server.
-            word::await_probe(&self.entry, self.content).await;
+            word::await_probe(&self.entry, self.content, sent).await;
         }
         let passage = self.entry.quarantine.borrow().passage(self.content, self.entry.clock.now());
         match passage {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -62,7 +62,7 @@
 impl Entry {
     /// Tells whether requests are taken and can be routed.
     pub(crate) fn is_ready(&self) -> bool {
-        !*self.stopping.borrow() && self.knows_servers()
+        !*self.stopping.borrow() && self.knows_servers() && self.word.has_learnt()
     }
 
     /// Tells whether there is a configuration and a server to route to.
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -68,10 +68,11 @@
     }
 }
 
-/// Probes a server, again and again while further connections to it break.
+/// Probes a server, again and again while it is in doubt or further connections to it break.
 async fn probe(entry: Rc<Entry>, server: Arc<Server>) {
-    let mut is_due = true;
-    while is_due {
+    let mut due_at = Some(entry.clock.now());
+    while let Some(at) = due_at {
+        tokio::time::sleep(at.saturating_sub(entry.clock.now())).await;
         let began = entry.clock.now();
         let found = look_at(&entry, &server).await;
         log::info!("server {} was probed after a connection broke: {found:?}", server.id);
@@ -79,7 +80,7 @@
         let (endings, again) = entry.endings.borrow_mut().on_probe(&server, found, began, now);
         entry.on_endings(endings);
         entry.word.on_probed();
-        is_due = again;
+        due_at = again;
     }
 }
 
--- a/crates/entry/src/word.rs
+++ b/crates/entry/src/word.rs
@@ -13,18 +13,24 @@
 use guavaspread_model::ContentId;
 use tokio::sync::Notify;
 
+use crate::follow;
 use crate::message::{CrashNews, CrashReply};
 use crate::prelude::*;
 use crate::state::Entry;
 
 /// Before hosts are told again that did not answer, and between two looks at who they are.
 const TELL_PAUSE: Duration = Duration::from_millis(500);
+/// How old the list of hosts may be when they are told: one that started since asks by itself.
+const HOSTS_FRESH_FOR: Duration = Duration::from_secs(3);
 /// Hosts that are told at once: each may take a connection.
 const TOLD_AT_ONCE: usize = 16;
 /// Contents in one message.
 const NOTES_MAX: usize = 256;
 /// Hosts that one which has started asks what they know.
 const ASKED_AT_START: usize = 4;
+/// How long a host that has started may take to ask them, before it serves.
+const LEARN_TIMEOUT: Duration = Duration::from_millis(1_000);
+const LEARN_POLL: Duration = Duration::from_millis(10);
 /// How long a request waits to learn whether its own last attempt ended a server.
 const DOUBT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Hosts that are asked for a trial, one after the other.
@@ -40,6 +46,10 @@
     /// What each host was told of a content: the revision here.
     told: RefCell<HashMap<(Arc<str>, ContentId), u64>>,
     settled: RefCell<Settled>,
+    /// Whether other hosts were asked what they know.
+    has_learnt: Cell<bool>,
+    /// When the list of hosts was last asked for.
+    looked_at: Cell<Option<Duration>>,
 }
 
 /// Spares a look at who was told what.
@@ -62,6 +72,11 @@
         self.probed.notify_waiters();
     }
 
+    /// Tells whether other hosts were asked what they know, if there are any.
+    pub(crate) fn has_learnt(&self) -> bool {
+        self.has_learnt.get()
+    }
+
     fn is_told(&self, holder: &Arc<str>, known: &KnownContent) -> bool {
         let told = self.told.borrow();
         told.get(&(holder.clone(), known.content)).is_some_and(|told| *told >= known.revision)
@@ -169,17 +184,17 @@
     }
 }
 
-/// Waits until it is known whether a content's last server ended; one that came up before is
-/// worth the wait.
-pub(crate) async fn await_probe(entry: &Entry, content: ContentId) {
+/// Waits until it is known whether a content's last server ended, if servers have ended under it
+/// or that was not its first.
+pub(crate) async fn await_probe(entry: &Entry, content: ContentId, sent: u32) {
     let until = entry.clock.now() + DOUBT_TIMEOUT;
     loop {
         let probed = entry.word.probed.notified();
         tokio::pin!(probed);
         probed.as_mut().enable();
         let now = entry.clock.now();
-        let is_known = entry.quarantine.borrow().ends(content) > 0;
-        if !is_known || now >= until || !entry.endings.borrow().is_in_doubt(content) {
+        let is_worth_it = sent > 1 || entry.quarantine.borrow().ends(content) > 0;
+        if !is_worth_it || now >= until || !entry.endings.borrow().is_in_doubt(content) {
             return;
         }
         // Without word of a probe the doubt is looked at all the same.
@@ -219,7 +234,7 @@
 fn judges(entry: &Entry, content: ContentId) -> Vec<(Arc<str>, SocketAddr)> {
     let zone = entry.cfg.borrow().zone.clone();
     let leases = entry.leases.borrow();
-    let counters = counters(content, leases.hosts(entry.clock.now()));
+    let counters = counters(content, leases.hosts_as_read());
     let of_zone = counters.iter().find(|host| host.zone == zone);
     let mut judges: Vec<(Arc<str>, SocketAddr)> = Vec::new();
     for host in counters.iter().take(JUDGES).chain(of_zone) {
@@ -232,7 +247,12 @@
 
 /// Tells other hosts of contents until the process ends.
 pub(crate) async fn spread(entry: Rc<Entry>) {
-    learn(&entry).await;
+    // A store or hosts that don't answer must not keep this host from serving.
+    let learning = tokio::time::timeout(LEARN_TIMEOUT, learn(&entry)).await;
+    if learning.is_err() {
+        log::warn!("no other host said under which contents servers ended");
+    }
+    entry.word.has_learnt.set(true);
     let mut is_behind = false;
     loop {
         let changed = entry.word.changed.notified();
@@ -248,13 +268,13 @@
 
 /// Asks hosts that have been up for longer what they know.
 async fn learn(entry: &Rc<Entry>) {
-    while entry.leases.borrow().hosts(entry.clock.now()).next().is_none() {
-        tokio::time::sleep(TELL_PAUSE).await;
+    while entry.leases.borrow().revision().is_none() {
+        tokio::time::sleep(LEARN_POLL).await;
     }
     let zone = entry.cfg.borrow().zone.clone();
     let mut hosts: Vec<HostLease> = {
         let leases = entry.leases.borrow();
-        let others = leases.hosts(entry.clock.now()).filter(|host| host.holder != entry.holder);
+        let others = leases.hosts_as_read().filter(|host| host.holder != entry.holder);
         others.cloned().collect()
     };
     hosts.sort_by_key(|host| host.zone != zone);
@@ -269,11 +289,29 @@
 
 /// Tells each host what it has to hear; returns whether some did not answer.
 async fn tell_all(entry: &Rc<Entry>) -> bool {
+    if has_news(entry) {
+        look_for_hosts(entry).await;
+    }
     let telling = stream::iter(untold(entry)).map(|(host, known)| tell(entry, host, known));
     let told: Vec<bool> = telling.buffer_unordered(TOLD_AT_ONCE).collect().await;
     told.contains(&false)
 }
 
+fn has_news(entry: &Entry) -> bool {
+    entry.quarantine.borrow().contents().any(|known| !entry.word.is_settled(&known))
+}
+
+/// Reads which hosts there are: without a free engine nobody reads the leases.
+async fn look_for_hosts(entry: &Rc<Entry>) {
+    let now = entry.clock.now();
+    if entry.word.looked_at.get().is_some_and(|at| now < at + HOSTS_FRESH_FOR) {
+        return;
+    }
+    entry.word.looked_at.set(Some(now));
+    let after = entry.leases.borrow().revision();
+    follow::read_leases(entry, after).await;
+}
+
 async fn tell(entry: &Rc<Entry>, host: HostLease, known: Vec<KnownContent>) -> bool {
     let now = entry.clock.now();
     let notes = {
@@ -295,7 +333,7 @@
 /// Lists the hosts that have to hear of contents, and of which.
 fn untold(entry: &Entry) -> Vec<(HostLease, Vec<KnownContent>)> {
     let leases = entry.leases.borrow();
-    let hosts: Vec<&HostLease> = leases.hosts(entry.clock.now()).collect();
+    let hosts: Vec<&HostLease> = leases.hosts_as_read().collect();
     let zone = entry.cfg.borrow().zone.clone();
     let mut untold: HashMap<Arc<str>, (HostLease, Vec<KnownContent>)> = HashMap::new();
     let contents: Vec<KnownContent> = entry.quarantine.borrow().contents().collect();
--- a/crates/fleet/src/endings.rs
+++ b/crates/fleet/src/endings.rs
@@ -21,6 +21,10 @@
 /// How soon after the connection broke a server has to answer to be known to live: one that
 /// ended takes longer to start again.
 const RESTART_MIN: Duration = Duration::from_millis(150);
+/// Before a server is probed again that did not answer. One that ends closes its connections
+/// one by one, and may still take one that nobody will answer.
+const PROBE_PAUSES: [Duration; 3] =
+    [Duration::from_millis(20), Duration::from_millis(80), Duration::from_millis(250)];
 /// Servers with broken connections that are remembered, and such connections of one server.
 const SERVERS_MAX: usize = 1_024;
 const BREAKS_MAX: usize = 256;
@@ -43,7 +47,7 @@
     Other,
     /// The server answers by the same name.
     Same,
-    /// Nothing comes back.
+    /// No answer comes back.
     Silent,
 }
 
@@ -102,6 +106,8 @@
     broken: Vec<Broken>,
     ended: Option<Evidence>,
     is_probed: bool,
+    /// Probes without an answer.
+    unanswered: usize,
     touched_at: Duration,
 }
 
@@ -137,6 +143,7 @@
             broken: Vec::new(),
             ended: None,
             is_probed: false,
+            unanswered: 0,
             touched_at: now,
         });
         suspect.touched_at = now;
@@ -153,16 +160,17 @@
         AfterBreak::Probe
     }
 
-    /// Reports what a probe found that began at `began`; the flag asks for a further one.
+    /// Reports what a probe found that began at `began`; a further one may be due at a moment.
     pub fn on_probe(
         &mut self,
         server: &Server,
         probe: Probe,
         began: Duration,
         now: Duration,
-    ) -> (Vec<Ending>, bool) {
+    ) -> (Vec<Ending>, Option<Duration>) {
         let start = (server.id.clone(), server.born);
-        let Some(suspect) = self.suspects.get_mut(&start) else { return (Vec::new(), false) };
+        let Some(suspect) = self.suspects.get_mut(&start) else { return (Vec::new(), None) };
+        let unanswered = std::mem::take(&mut suspect.unanswered);
         suspect.is_probed = false;
         let evidence = match probe {
             Probe::Refused => Evidence::Refused,
@@ -174,11 +182,16 @@
                     broken.lives |= broken.at <= began;
                 }
                 suspect.is_probed = suspect.broken.iter().any(|broken| broken.at > began);
-                return (Vec::new(), suspect.is_probed);
+                return (Vec::new(), suspect.is_probed.then_some(now));
+            }
+            Probe::Silent => {
+                let pause = PROBE_PAUSES.get(unanswered).filter(|_| suspect.ended.is_none());
+                suspect.is_probed = pause.is_some();
+                suspect.unanswered = if pause.is_some() { unanswered + 1 } else { 0 };
+                return (Vec::new(), pause.map(|pause| now + *pause));
             }
-            Probe::Silent => return (Vec::new(), false),
         };
-        (self.ended(&start, evidence, now), false)
+        (self.ended(&start, evidence, now), None)
     }
 
     /// Tells whether a probe is under way that may show an end under a content.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -69,6 +69,8 @@
     ranks: BTreeMap<Arc<str>, u32>,
     stale: bool,
     read_at: Duration,
+    /// The store's clock at the last read, in milliseconds.
+    read_ms: u64,
     reads: Backoff,
     writes: Backoff,
     /// When the next write may be tried.
@@ -123,6 +125,7 @@
             ranks: BTreeMap::new(),
             stale: true,
             read_at: Duration::ZERO,
+            read_ms: 0,
             reads: Backoff::new(REREAD_PAUSE, READ_PAUSE_MAX),
             writes: Backoff::new(REREAD_PAUSE, WRITE_PAUSE_MAX),
             write_at: Duration::ZERO,
@@ -156,6 +159,7 @@
         self.revision = Some(table.revision);
         self.stale = false;
         self.read_at = now;
+        self.read_ms = table.shown_ms;
         self.reads.on_success();
         self.check_own();
     }
@@ -313,6 +317,15 @@
         })
     }
 
+    /// Lists the leases of the entry hosts that lived when the table was last read, however long
+    /// ago: the store may be away since.
+    pub fn hosts_as_read(&self) -> impl Iterator<Item = &HostLease> {
+        let kept_ms = SEEN_FOR.as_millis() as u64;
+        self.hosts.values().filter(move |host| {
+            host.until_ms > 0 && host.until_ms.saturating_add(kept_ms) > self.read_ms
+        })
+    }
+
     /// Lists the engines that the host may order.
     pub fn owned(&self, now: Duration) -> Vec<Arc<str>> {
         let owned = self.fences.keys().filter(|engine| self.fence(engine, now).is_some());
--- a/crates/fleet/tests/endings.rs
+++ b/crates/fleet/tests/endings.rs
@@ -48,7 +48,27 @@
     let mut endings = broken(how);
     let (found, again) = endings.on_probe(&server("a"), probe, NOW, NOW + ms(2));
     assert_eq!(found, evidence.map(of_a).unwrap_or_default());
-    assert!(!again);
+    assert_eq!(again.is_some(), probe == Probe::Silent);
+}
+
+/// The pattern of a server whose connections close before it stops listening.
+#[test]
+fn a_server_that_takes_connections_while_it_ends_is_probed_again() {
+    let mut endings = broken(Break::Closed);
+    let (mut now, mut probes) = (NOW, 0);
+    while let (_, Some(at)) = endings.on_probe(&server("a"), Probe::Silent, now, now) {
+        assert!(endings.is_in_doubt(content("x")));
+        (now, probes) = (at, probes + 1);
+    }
+    assert_eq!((now - NOW, probes), (ms(350), 3));
+    assert!(!endings.is_in_doubt(content("x")));
+    // The next break is probed as the first was.
+    let next = endings.on_broken(&server("a"), false, (content("y"), Break::Closed), now);
+    assert_eq!(next, AfterBreak::Probe);
+    let (_, again) = endings.on_probe(&server("a"), Probe::Silent, now, now);
+    assert_eq!(again, Some(now + ms(20)));
+    let (found, _) = endings.on_probe(&server("a"), Probe::Refused, now + ms(20), now + ms(21));
+    assert_eq!(found.len(), 2);
 }
 
 #[test_case(Break::Closed, true; "its side closed the connection")]
@@ -111,7 +131,7 @@
     assert_eq!(next, AfterBreak::Wait);
     assert!(endings.is_in_doubt(content("x")));
     let (_, again) = endings.on_probe(&server("a"), Probe::Same, NOW, NOW + ms(2));
-    assert!(again);
+    assert_eq!(again, Some(NOW + ms(2)));
     // The first probe shows that the server outlived the first break, not the second one.
     assert!(!endings.is_in_doubt(content("x")) && endings.is_in_doubt(content("y")));
     let (found, _) = endings.on_probe(&server("a"), Probe::Refused, NOW + ms(2), NOW + ms(3));
