--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,21 +1,22 @@
 //! Carries one request to a backend server and its answer back.
 
+mod attempt;
+
 use std::convert::Infallible;
 use std::net::IpAddr;
 
 use guavaspread_fleet::{
-    AdapterId, Attempts, Break, Outcome, Passage, Pick, PlacementKey, Prompt, RequestClass, Route,
-    Server, Standing, Verdict,
+    AdapterId, Attempts, Outcome, Passage, Pick, PlacementKey, Prompt, RequestClass, Route, Server,
+    Standing, Verdict,
 };
 use guavaspread_model::{ContentId, Refusal};
 use http::{Request, Response, header, request};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, Kept, Want};
-use crate::body::{InFlight, RelayBody, Relayed, Run};
-use crate::border::{AnswerHead, Asked, Sending};
-use crate::channel::{Answered, SendError};
+use crate::body::{InFlight, RelayBody, Relayed};
+use crate::border::Asked;
+use crate::channel::Answered;
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
 use crate::prelude::*;
@@ -26,9 +27,6 @@
 use crate::state::Entry;
 use crate::word;
 
-/// How long past its limit an answer is still awaited: the server stops at the limit too,
-/// and what it says then is the better answer.
-const LIMIT_MARGIN: Duration = Duration::from_millis(100);
 /// How long past its limit a stream may still run.
 const STREAM_MARGIN: Duration = Duration::from_millis(350);
 /// A request with less time left than that is not sent.
@@ -368,151 +366,6 @@
         access
     }
 
-    /// Sends the request to one server and reads the head of its answer.
-    async fn attempt(
-        &self,
-        key: PlacementKey,
-        server: &Arc<Server>,
-        version: Option<u64>,
-        attempts: &mut Attempts,
-        record: &mut Record,
-    ) -> Attempt {
-        let started = self.entry.clock.now();
-        let left = self.until.saturating_sub(started);
-        let left_ms = left.as_millis() as u64;
-        record.add(Step::Sent { server: server.id.clone(), version, left_ms });
-        let mut in_flight = InFlight::start(&self.entry, key);
-        in_flight.run = Some(Run { server: server.clone(), content: self.content });
-        let req = self.request(server, version, left);
-        let sending = self.entry.pool.send(server.address, &server.id, req, self.entry.clock);
-        let sent = tokio::time::timeout(left + LIMIT_MARGIN, sending).await;
-        let now = self.entry.clock.now();
-        let unreached = matches!(&sent, Ok(Err(SendError::NotSent(_))));
-        if !unreached {
-            attempts.on_sent();
-        }
-        let answered = match sent {
-            Ok(Ok(answered)) => answered,
-            Ok(Err(e)) => {
-                let outcome = if unreached { Outcome::NotSent } else { Outcome::Unknown };
-                record.failed(outcome, e.to_string());
-                match e {
-                    SendError::NotSent(_) => {}
-                    SendError::Unknown(_) => in_flight.on_broken(Break::Closed),
-                    SendError::Silent(_) => in_flight.on_broken(Break::Silent),
-                }
-                let mut placement = self.entry.placement.borrow_mut();
-                placement.on_failed(key, now);
-                if unreached {
-                    placement.on_unreachable(key, now);
-                }
-                return Attempt::Failed(outcome, None);
-            }
-            Err(_) => {
-                record.failed(Outcome::Unknown, "no answer in time".to_owned());
-                in_flight.on_broken(Break::Silent);
-                self.entry.placement.borrow_mut().on_failed(key, now);
-                return Attempt::Failed(Outcome::Unknown, None);
-            }
-        };
-        let took = now.saturating_sub(started);
-        let status = answered.head.status;
-        record.add(Step::Answered { status: status.as_u16(), took_ms: took.as_millis() as u64 });
-        let answer = self.entry.borders.dialect.answer(status, &answered.head.headers);
-        self.entry.on_answer(server, answer.said);
-        if let Some(load) = answer.load {
-            self.entry.placement.borrow_mut().on_report(key, load, now);
-        }
-        self.sort(key, server, answered, &answer, in_flight, record)
-    }
-
-    /// Tells an answer to pass on from one that another server may better.
-    fn sort(
-        &self,
-        key: PlacementKey,
-        server: &Arc<Server>,
-        answered: Answered,
-        answer: &AnswerHead,
-        in_flight: InFlight,
-        record: &mut Record,
-    ) -> Attempt {
-        let now = self.entry.clock.now();
-        if answer.id.as_deref().is_some_and(|id| *id != *self.asked.id) {
-            record.failed(Outcome::Unknown, "the answer is another request's".to_owned());
-            self.entry.placement.borrow_mut().on_failed(key, now);
-            return Attempt::Failed(Outcome::Unknown, None);
-        }
-        if answer.not_run {
-            return self.on_refused(key, server, answered, answer, record);
-        }
-        let status = answered.head.status;
-        if !answer.is_sealed {
-            record.failed(Outcome::Unknown, format!("an answer {status} without a seal"));
-            self.entry.placement.borrow_mut().on_failed(key, now);
-            return Attempt::Failed(Outcome::Unknown, None);
-        }
-        if status.is_server_error() {
-            self.entry.placement.borrow_mut().on_failed(key, now);
-            if self.route.is_repeatable() {
-                record.failed(Outcome::Unknown, format!("the server failed with {status}"));
-                return Attempt::Failed(Outcome::Unknown, Some(Box::new(answered)));
-            }
-        }
-        Attempt::Answered(Box::new(answered), in_flight)
-    }
-
-    fn on_refused(
-        &self,
-        key: PlacementKey,
-        server: &Arc<Server>,
-        answered: Answered,
-        answer: &AnswerHead,
-        record: &mut Record,
-    ) -> Attempt {
-        let now = self.entry.clock.now();
-        let status = answered.head.status;
-        record.failed(Outcome::Refused, format!("refused with {status}"));
-        if answer.is_other_server(&server.id) {
-            // The address belongs to another server by now.
-            self.entry.on_other_server(server);
-            self.entry.placement.borrow_mut().on_unreachable(key, now);
-            self.entry.pool.close(&server.id);
-            return Attempt::Failed(Outcome::Refused, None);
-        }
-        let is_full = answer.load.is_some_and(|load| load.running >= load.slots);
-        match self.adapter() {
-            Some(id) if !is_full => {
-                self.entry.grants.borrow_mut().revoke(&server.id, &id);
-                Attempt::Again
-            }
-            Some(_) | None => {
-                self.entry.placement.borrow_mut().on_failed(key, now);
-                Attempt::Failed(Outcome::Refused, None)
-            }
-        }
-    }
-
-    fn request(
-        &self,
-        server: &Server,
-        version: Option<u64>,
-        left: Duration,
-    ) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::new(self.body.clone()));
-        *req.method_mut() = self.head.method.clone();
-        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
-        // What was a path and query before still is one.
-        *req.uri_mut() = path.parse().unwrap_or_default();
-        let mut headers = self.head.headers.clone();
-        strip_hop_by_hop(&mut headers);
-        headers.remove(header::CONTENT_LENGTH);
-        headers.remove(header::EXPECT);
-        let sending = Sending { server, left, version, priority: self.route.priority };
-        self.entry.borders.dialect.prepare(&mut headers, &sending);
-        *req.headers_mut() = headers;
-        req
-    }
-
     fn pass_on(
         self,
         answered: Answered,
