Write what is held to the store, so that it outlasts every host

What callers would see: all hosts lose power, and a request that ended three servers ends three more before it is held again.

What hosts know of content was in their memory alone. Content that is held is now written by the first two hosts that count it, as rows of the table of leases, which every host reads as it starts: no call more at a start, one per hold and writer. Rows are removed when nothing is known of the content any more.

--- a/crates/entry/src/border.rs
+++ b/crates/entry/src/border.rs
@@ -7,9 +7,10 @@
 
 use async_trait::async_trait;
 use guavaspread_fleet::{
-    AdapterId, Catalog, HeldModel, LeaseTable, LeaseWrite, LoadReport, Order, OrderResult, Said,
-    Server,
+    AdapterId, Catalog, ContentNote, HeldModel, LeaseTable, LeaseWrite, LoadReport, Order,
+    OrderResult, Said, Server,
 };
+use guavaspread_model::ContentId;
 use http::{HeaderMap, Request, StatusCode, request};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
@@ -148,6 +149,19 @@
     ///
     /// Fails when the store does not answer as asked; the write may have been done.
     async fn write_leases(&self, write: &LeaseWrite) -> Result<Written, StoreError>;
+
+    /// Writes notes of contents, as they are at that moment of the store's clock, in place of
+    /// those before, and removes others.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer as asked; the write may have been done.
+    async fn write_contents(
+        &self,
+        notes: &[ContentNote],
+        shown_ms: u64,
+        removed: &[ContentId],
+    ) -> Result<(), StoreError>;
 }
 
 /// Holds what the decisions need to know of a caller's request.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -175,10 +175,12 @@
     let table = entry.borders.store.leases(after).await;
     let now = entry.clock.now();
     match table {
-        Ok(table) => {
+        Ok(mut table) => {
+            let contents = std::mem::take(&mut table.contents);
             entry.leases.borrow_mut().on_read(table, after.is_none(), sent_at, now);
             let holders = entry.leases.borrow().hosts(now).count();
             entry.on_holders(holders);
+            entry.on_saved(&contents);
         }
         Err(StoreError::HistoryLost) => {
             log::warn!("the store forgot changes of the leases behind {after:?}; reads all");
--- a/crates/entry/src/word.rs
+++ b/crates/entry/src/word.rs
@@ -9,15 +9,20 @@
 use std::net::SocketAddr;
 
 use futures::{StreamExt, stream};
-use guavaspread_fleet::{HostLease, KnownContent, Passage, counters};
+use guavaspread_fleet::{ContentNote, HostLease, KnownContent, Passage, SavedContents, counters};
 use guavaspread_model::ContentId;
 use tokio::sync::Notify;
 
+use crate::border::StoreError;
 use crate::follow;
 use crate::message::{CrashNews, CrashReply};
 use crate::prelude::*;
 use crate::state::Entry;
 
+/// Where news comes from, in log lines.
+const PEER: &str = "by a peer's word";
+/// Before the store is written to again that did not answer as asked.
+const SAVE_PAUSE: Duration = Duration::from_millis(1_500);
 /// Before hosts are told again that did not answer, and between two looks at who they are.
 const TELL_PAUSE: Duration = Duration::from_millis(500);
 /// How old the list of hosts may be when they are told: one that started since asks by itself.
@@ -46,6 +51,8 @@
     /// What each host was told of a content: the revision here.
     told: RefCell<HashMap<(Arc<str>, ContentId), u64>>,
     settled: RefCell<Settled>,
+    /// What the store has.
+    saved: RefCell<SavedContents>,
     /// Whether other hosts were asked what they know.
     has_learnt: Cell<bool>,
     /// When the list of hosts was last asked for.
@@ -120,7 +127,7 @@
     pub(crate) fn on_crash_news(&self, news: CrashNews) -> CrashReply {
         let now = self.clock.now();
         let mut reply = CrashReply { number: news.number, ..CrashReply::default() };
-        self.take_over(&news);
+        self.take_over(&news.notes, PEER);
         if let Some(content) = news.trial {
             reply.is_granted = self.grant_trial(content);
         }
@@ -137,12 +144,20 @@
         reply
     }
 
-    fn take_over(&self, news: &CrashNews) {
+    /// Takes over what hosts wrote to the store.
+    pub(crate) fn on_saved(&self, notes: &[ContentNote]) {
+        for note in notes {
+            self.word.saved.borrow_mut().on_read(note.content);
+        }
+        self.take_over(notes, "by the store");
+    }
+
+    fn take_over(&self, notes: &[ContentNote], source: &str) {
         let mut is_news = false;
-        for note in &news.notes {
+        for note in notes {
             let merged = self.quarantine.borrow_mut().merge(note, self.clock.now());
             if merged {
-                self.log_hold(note.content, "by a peer's word");
+                self.log_hold(note.content, source);
             }
             is_news |= merged;
         }
@@ -216,7 +231,7 @@
             log::warn!("{holder} was not asked for a trial of content {content}: no answer");
             continue;
         };
-        entry.take_over(&CrashNews { notes: reply.notes, ..CrashNews::default() });
+        entry.take_over(&reply.notes, PEER);
         return if reply.is_granted { Ok(()) } else { Err(left(entry, content)) };
     }
     Err(NO_JUDGE_PAUSE)
@@ -256,14 +271,43 @@
     let mut is_behind = false;
     loop {
         let changed = entry.word.changed.notified();
-        if is_behind || !entry.quarantine.borrow().is_empty() {
+        let has_rows = !entry.word.saved.borrow().is_empty();
+        if is_behind || has_rows || !entry.quarantine.borrow().is_empty() {
             // Hosts come, and hosts that did not answer are told again.
             let _ = tokio::time::timeout(TELL_PAUSE, changed).await;
         } else {
             changed.await;
         }
         is_behind = tell_all(&entry).await;
+        if let Err(e) = save(&entry).await {
+            log::warn!("the store was not told of contents: {e}");
+            tokio::time::sleep(SAVE_PAUSE).await;
+            is_behind = true;
+        }
+    }
+}
+
+/// Writes to the store what has to outlast all hosts.
+async fn save(entry: &Entry) -> Result<(), StoreError> {
+    let now = entry.clock.now();
+    let (written, removed, notes, shown_ms) = {
+        let (quarantine, leases) = (entry.quarantine.borrow(), entry.leases.borrow());
+        let Some(shown_ms) = leases.shown_ms(now) else { return Ok(()) };
+        let hosts: Vec<&HostLease> = leases.hosts_as_read().collect();
+        let mut saved = entry.word.saved.borrow_mut();
+        let hosts = || hosts.iter().copied();
+        let written = saved.due(&entry.holder, quarantine.contents(), hosts());
+        let removed = saved.outdated(&entry.holder, &quarantine, hosts());
+        let notes: Vec<ContentNote> =
+            written.iter().filter_map(|known| quarantine.note(known.content, now)).collect();
+        (written, removed, notes, shown_ms)
+    };
+    if written.is_empty() && removed.is_empty() {
+        return Ok(());
     }
+    entry.borders.store.write_contents(&notes, shown_ms, &removed).await?;
+    entry.word.saved.borrow_mut().on_written(&written, &removed);
+    Ok(())
 }
 
 /// Asks hosts that have been up for longer what they know.
@@ -282,7 +326,7 @@
         let new_host = Some(entry.holder.clone());
         let news = CrashNews { new_host, ..CrashNews::default() };
         if let Some(reply) = entry.peers.tell(host.address, news, entry.clock).await {
-            entry.take_over(&CrashNews { notes: reply.notes, ..CrashNews::default() });
+            entry.take_over(&reply.notes, PEER);
         }
     }
 }
@@ -326,7 +370,7 @@
     for known in known {
         entry.word.told.borrow_mut().insert((host.holder.clone(), known.content), known.revision);
     }
-    entry.take_over(&CrashNews { notes: reply.notes, ..CrashNews::default() });
+    entry.take_over(&reply.notes, PEER);
     true
 }
 
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -396,6 +396,11 @@
         self.clock = Some(StoreClock { shown_ms, sent_at, received_at });
     }
 
+    /// Returns the earliest moment that the store's clock can show, `None` before it answered.
+    pub fn shown_ms(&self, now: Duration) -> Option<u64> {
+        self.clock.is_some().then(|| self.earliest_ms(now))
+    }
+
     /// Returns the latest moment that the store's clock can show.
     fn latest_ms(&self, now: Duration) -> Option<u64> {
         let clock = self.clock?;
--- a/crates/fleet/src/lease/rows.rs
+++ b/crates/fleet/src/lease/rows.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::quarantine::ContentNote;
 
 /// Sets how long leases last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +53,8 @@
     pub hosts: Vec<HostLease>,
     /// Claims of engines.
     pub claims: Vec<Claim>,
+    /// What hosts wrote of contents under which servers ended, as of now.
+    pub contents: Vec<ContentNote>,
     /// The store's revision at that moment.
     pub revision: u64,
     /// The store's clock, in milliseconds.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -56,7 +56,7 @@
 pub use notices::{Notices, Said, Standing};
 pub use order::{Order, OrderKind, OrderResult, Readiness, Step};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
-pub use quarantine::{ContentNote, KnownContent, Passage, Quarantine, counters};
+pub use quarantine::{ContentNote, KnownContent, Passage, Quarantine, SavedContents, counters};
 pub use reading::{Prompt, PromptKey, ReadingOrder, Turn};
 pub use renewals::{COLLECT_TIME, RenewalGroup};
 pub use roster::{AdapterId, HeldAdapter, HeldModel, Roster, RosterChange, Server, ServerState};
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -86,8 +86,84 @@
     pub is_own: bool,
     /// Whether hosts have to hear of it that don't count it.
     pub is_for_all: bool,
+    /// Whether it is held, or was until it ran to its end: what outlasts all hosts.
+    is_grave: bool,
 }
 
+/// Decides which contents are written to the store, so that hosts know of them that start when
+/// no other host is left.
+///
+/// The first hosts that count a content write it, each for itself: a write that is lost or done
+/// twice changes nothing, since what is read is merged.
+#[derive(Clone, Debug, Default)]
+pub struct SavedContents {
+    /// What is in the store by what is known here; the revision is the one written from here.
+    rows: BTreeMap<ContentId, u64>,
+}
+
+/// Hosts that write a content.
+const WRITERS: usize = 2;
+/// Rows in one write.
+const ROWS_MAX: usize = 32;
+
+impl SavedContents {
+    /// Takes over that the store has a row of a content.
+    pub fn on_read(&mut self, content: ContentId) {
+        self.rows.entry(content).or_insert(0);
+    }
+
+    /// Takes over that these were written, and those removed.
+    pub fn on_written(&mut self, written: &[KnownContent], removed: &[ContentId]) {
+        self.rows.extend(written.iter().map(|known| (known.content, known.revision)));
+        for content in removed {
+            self.rows.remove(content);
+        }
+    }
+
+    /// Lists the contents to write.
+    pub fn due<'a>(
+        &self,
+        host: &str,
+        contents: impl Iterator<Item = KnownContent>,
+        hosts: impl Iterator<Item = &'a HostLease> + Clone,
+    ) -> Vec<KnownContent> {
+        let is_due = |known: &KnownContent| {
+            let saved = self.rows.get(&known.content);
+            let is_news = match saved {
+                Some(revision) => *revision < known.revision,
+                None => known.is_grave,
+            };
+            is_news && writes(host, known.content, hosts.clone())
+        };
+        contents.filter(is_due).take(ROWS_MAX).collect()
+    }
+
+    /// Lists the contents whose rows are to be removed, as nothing is known of them any more.
+    pub fn outdated<'a>(
+        &mut self,
+        host: &str,
+        quarantine: &Quarantine,
+        hosts: impl Iterator<Item = &'a HostLease> + Clone,
+    ) -> Vec<ContentId> {
+        // What another host writes, it also removes.
+        self.rows.retain(|content, _| {
+            quarantine.knows(*content) || writes(host, *content, hosts.clone())
+        });
+        let forgotten = self.rows.keys().filter(|content| !quarantine.knows(**content));
+        forgotten.copied().take(ROWS_MAX).collect()
+    }
+
+    /// Tells whether the store has no row by what is known here.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+fn writes<'a>(host: &str, content: ContentId, hosts: impl Iterator<Item = &'a HostLease>) -> bool {
+    counters(content, hosts).iter().take(WRITERS).any(|counter| *counter.holder == *host)
+}
+
+/// Counts the ends of servers under contents, and holds
 /// Says what one host knows of a content; times are ages, as hosts' clocks differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContentNote {
@@ -101,6 +177,18 @@
     pub trials: (u32, u64),
 }
 
+impl ContentNote {
+    /// Returns the note as it reads so much later.
+    pub fn aged(mut self, by: Duration) -> Self {
+        let by_ms = by.as_millis() as u64;
+        for (_, age_ms) in &mut self.ends {
+            *age_ms += by_ms;
+        }
+        self.trials.1 += by_ms;
+        self
+    }
+}
+
 /// Counts the ends of servers under contents, and holds those that go on ending them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -165,6 +253,11 @@
         self.records.is_empty()
     }
 
+    /// Tells whether anything is known of a content.
+    pub fn knows(&self, content: ContentId) -> bool {
+        self.records.contains_key(&content)
+    }
+
     /// Counts the contents that are held.
     pub fn held(&self, now: Duration) -> usize {
         let held = |record: &&Record| record.held_until().is_some_and(|until| until > now);
@@ -269,6 +362,7 @@
             revision: record.revision,
             is_own: record.is_own,
             is_for_all: record.ends.len() >= ENDS_TOLD || !record.cleared.is_empty(),
+            is_grave: record.ends.len() >= ENDS_MAX,
         })
     }
 
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use guavaspread_fleet::{Ending, Evidence, HostLease, Passage, Quarantine, counters};
+use guavaspread_fleet::{
+    Ending, Evidence, HostLease, Passage, Quarantine, SavedContents, counters,
+};
 use guavaspread_model::ContentId;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -205,15 +207,63 @@
 }
 
 #[test]
-fn two_hosts_of_each_zone_count_a_content_the_same_by_all_leases() {
-    let host = |zone: &str, n: usize| HostLease {
+fn what_is_held_is_written_by_two_hosts_until_it_is_forgotten() {
+    let hosts: Vec<HostLease> = (0..4).map(|n| host("a", n)).collect();
+    let mut quarantine = Quarantine::default();
+    let mut saved = vec![SavedContents::default(); 4];
+    let due = |saved: &[SavedContents], quarantine: &Quarantine| -> Vec<usize> {
+        let of = |n: usize| saved[n].due(&hosts[n].holder, quarantine.contents(), hosts.iter());
+        (0..4).filter(|n| !of(*n).is_empty()).collect()
+    };
+    ended(&mut quarantine, "x", 2, NOW);
+    assert_eq!(due(&saved, &quarantine), Vec::<usize>::new());
+    quarantine.on_end(&ending("x", "s", 2), NOW);
+    let writers = due(&saved, &quarantine);
+    assert_eq!(writers.len(), 2);
+    let known: Vec<_> = quarantine.contents().collect();
+    for n in &writers {
+        saved[*n].on_written(&known, &[]);
+    }
+    assert_eq!(due(&saved, &quarantine), Vec::<usize>::new());
+    // That it ran to its end after all is written too.
+    quarantine.on_whole(content("x"), NOW);
+    assert_eq!(due(&saved, &quarantine), writers);
+    for saved in &mut saved {
+        saved.on_read(content("x"));
+    }
+    quarantine.expire(NOW + DAY);
+    let outdated = |n: usize, saved: &mut [SavedContents]| {
+        saved[n].outdated(&hosts[n].holder, &quarantine, hosts.iter())
+    };
+    let removers: Vec<usize> = (0..4).filter(|n| !outdated(*n, &mut saved).is_empty()).collect();
+    assert_eq!(removers, writers);
+    saved[writers[0]].on_written(&[], &[content("x")]);
+    assert!(saved[writers[0]].is_empty());
+}
+
+#[test]
+fn a_note_ages() {
+    let mut quarantine = Quarantine::default();
+    ended(&mut quarantine, "x", 3, NOW);
+    let note = quarantine.note(content("x"), NOW + ms(500)).unwrap().aged(ms(1_000));
+    let mut other = Quarantine::default();
+    other.merge(&note, NOW);
+    assert_eq!(other.passage(content("x"), NOW), Passage::Held(HOLD - ms(1_500)));
+}
+
+fn host(zone: &str, n: usize) -> HostLease {
+    HostLease {
         holder: format!("{zone}-{n}").into(),
         address: format!("10.0.0.{n}:80").parse().unwrap(),
         zone: zone.into(),
         link_mbps: 0,
         until_ms: 1,
         revision: 1,
-    };
+    }
+}
+
+#[test]
+fn two_hosts_of_each_zone_count_a_content_the_same_by_all_leases() {
     let mut hosts: Vec<HostLease> =
         ["a", "b", "c"].iter().flat_map(|zone| (0..5).map(|n| host(zone, n))).collect();
     hosts.push(host("d", 0));
