Cut off servers that send bytes without end which are no answer

Callers saw, with a stand-in: a server that sends interim answers without end kept the request until its time was up (504 after 1.5 s), and the entry host's only thread at work meanwhile; one that never ends a chunk's size kept it for 1.85 s.

Cause: that library bounds each part of a message, not what comes between two parts. Now what is read between the request and the head of its answer, and between two pieces of a body, is bounded where it is read. A body that breaks off or does not end in time counts against its server in the choice of the next one, as an answer without a head did before. An event without end was searched from its start with each piece; now only the new piece is.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -127,6 +127,7 @@
                 Next::Again => {}
                 Next::Pass(passed) => return Poll::Ready(passed),
                 Next::Wait if self.until.as_mut().poll(cx).is_ready() => {
+                    self.on_failed();
                     self.end("out-of-time");
                     return Poll::Ready(Some(Err(BrokenOff)));
                 }
@@ -164,6 +165,7 @@
         if let Some(record) = &mut self.record {
             record.failed(Outcome::Unknown, e.to_string());
         }
+        self.on_failed();
         if let Some(in_flight) = &self.in_flight {
             in_flight.on_broken(if is_silence(e) { Break::Silent } else { Break::Closed });
         }
@@ -196,6 +198,13 @@
         Next::Pass(Some(Err(BrokenOff)))
     }
 
+    /// Lets other servers go before one whose answer was not whole.
+    fn on_failed(&self) {
+        if let Some(InFlight { entry, key, .. }) = &self.in_flight {
+            entry.placement.borrow_mut().on_failed(*key, entry.clock.now());
+        }
+    }
+
     fn end_whole(&mut self) {
         self.end("whole");
         if let Some(in_flight) = &self.in_flight {
--- a/crates/entry/src/channel.rs
+++ b/crates/entry/src/channel.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::idle_bytes::{Allowance, Bounded};
 use crate::prelude::*;
 
 /// How long a connection may take to open; a machine without power does not answer.
@@ -66,6 +67,7 @@
 /// Holds one open connection.
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     _driver: Driver,
     idle_until: Duration,
 }
@@ -105,7 +107,9 @@
     }
 
     async fn over(stream: TcpStream, address: SocketAddr) -> Result<Self, SendError> {
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let allowance = Allowance::default();
+        let io = TokioIo::new(Bounded::new(stream, allowance.clone()));
+        let handshake = http1::Builder::new().handshake(io);
         let (sender, connection) =
             handshake.await.map_err(|e| SendError::NotSent(e.to_string()))?;
         let driver = tokio::task::spawn_local(async move {
@@ -113,10 +117,11 @@
                 log::debug!("a connection to {address} ended: {e}");
             }
         });
-        Ok(Channel { sender, _driver: Driver(driver), idle_until: Duration::ZERO })
+        Ok(Channel { sender, allowance, _driver: Driver(driver), idle_until: Duration::ZERO })
     }
 
     async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
+        self.allowance.renew();
         match self.sender.try_send_request(req).await {
             Ok(res) => Ok(res),
             Err(mut e) => {
@@ -318,6 +323,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let (Poll::Ready(Some(Ok(_))), Some(channel)) = (&polled, &self.channel) {
+            channel.allowance.renew();
+        }
         match &polled {
             Poll::Ready(None) => self.release(),
             Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.release(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod follow;
 mod front;
 mod headers;
+mod idle_bytes;
 mod intake;
 mod message;
 mod metrics;
--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -29,8 +29,9 @@
             self.note(bytes);
             return bytes.clone();
         }
+        let known = self.held.len();
         self.held.extend_from_slice(bytes);
-        let Some(end) = last_end(&self.held) else {
+        let Some(end) = last_end(&self.held, known) else {
             if self.held.len() <= HELD_BYTES_MAX {
                 return Bytes::new();
             }
@@ -77,7 +78,7 @@
     bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
 }
 
-/// Returns the end of the last whole event.
-fn last_end(bytes: &[u8]) -> Option<usize> {
-    (2..=bytes.len()).rev().find(|end| ends_event(&bytes[..*end]))
+/// Returns the end of the last whole event behind the bytes known to hold none.
+fn last_end(bytes: &[u8], known: usize) -> Option<usize> {
+    (known + 1..=bytes.len()).rev().find(|end| ends_event(&bytes[..*end]))
 }
