--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -64,7 +64,7 @@
         let after = after.unwrap_or(0);
         let hosts = self.hosts.values().filter(|row| row.revision > after).cloned().collect();
         let claims = self.claims.values().filter(|row| row.revision > after).cloned().collect();
-        LeaseTable { hosts, claims, revision: self.revision, shown_ms }
+        LeaseTable { hosts, claims, contents: vec![], revision: self.revision, shown_ms }
     }
 }
 
@@ -305,7 +305,8 @@
     let claim = Claim { engine: "i-0".into(), holder: "host-0".into(), revision: 7 };
     let hosts = vec![host(0, STORE_OFFSET_MS + 60_000, 9)];
     let shown_ms = STORE_OFFSET_MS;
-    let table = LeaseTable { hosts, claims: vec![claim.clone()], revision: 9, shown_ms };
+    let table =
+        LeaseTable { hosts, claims: vec![claim.clone()], contents: vec![], revision: 9, shown_ms };
     let mut book = book_of(0, 1);
     let now = Duration::from_millis(100);
     assert_eq!(book.next(now), LeaseNext::Read(None));
@@ -472,7 +473,13 @@
 #[test]
 fn an_engine_whose_holder_has_no_lease_that_can_be_read_is_left_alone() {
     let claims = vec![Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7 }];
-    let table = LeaseTable { claims, revision: 8, shown_ms: STORE_OFFSET_MS, hosts: vec![] };
+    let table = LeaseTable {
+        claims,
+        contents: vec![],
+        revision: 8,
+        shown_ms: STORE_OFFSET_MS,
+        hosts: vec![],
+    };
     let mut book = book_of(0, 1);
     for tick in 1..1_000u32 {
         let now = Duration::from_millis(50) * tick;
@@ -496,6 +503,7 @@
     let lease_ms = TIMES.lease.as_millis() as u64;
     let claim = Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7 };
     let table = |at_ms: u64, dead_ms: u64| LeaseTable {
+        contents: vec![],
         hosts: vec![
             host(0, STORE_OFFSET_MS + at_ms + lease_ms, 9),
             host(1, STORE_OFFSET_MS + at_ms + lease_ms, 8),
