Hold adapters whose loads end engines

What callers saw, with engine stand-ins that end while they load one adapter: after three ends the engines went on ending, and requests waited for the load until their time was up (the new test failed on that). The load of an adapter in its newest version is now content like a request's: engines that end while it is under way are counted, a load that completes clears the count, and behind the third end requests for it are refused at once with the time that is left. What an engine has loaded is served.

Looked at and left: an engine's model is ordered whenever it starts empty, also after ends; holding that would keep engines empty after a loss of power. Servers are given no configuration by entry hosts. Calls that a run makes of another service don't pass them on these sites.

Test: an_adapter_under_whose_load_three_engines_ended_is_loaded_no_more.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -1,8 +1,8 @@
 //! Carries out the orders of the engines that this host owns.
 
 use guavaspread_fleet::{
-    AdapterId, EngineLedger, Prompt, PromptKey, Readiness, ReadingOrder, Server, Standing, Step,
-    Turn,
+    AdapterId, Ending, EngineLedger, Evidence, OrderKind, OrderResult, Passage, Prompt, PromptKey,
+    Readiness, ReadingOrder, Server, Standing, Step, Turn,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -10,6 +10,7 @@
 use crate::message::{Answer, Ask};
 use crate::prelude::*;
 use crate::state::Entry;
+use crate::word;
 
 /// Between two looks at an engine on which nothing happens.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
@@ -88,6 +89,26 @@
         }
     }
 
+    /// Puts the end of an engine down to the loads that were under way there.
+    pub(crate) fn endings(&self, entry: &Entry, server: &Server, born: u64) -> Vec<Ending> {
+        let engines = self.engines.borrow();
+        let running = engines.get(&server.id).filter(|running| running.owned.born == born);
+        let Some(running) = running else { return Vec::new() };
+        let loading = running.owned.ledger.borrow().loading();
+        let evidence = if server.born == born { Evidence::RowGone } else { Evidence::Restarted };
+        let ending = |id: &AdapterId| {
+            let content = entry.load_content(id);
+            log::warn!("engine {} ended while it loaded {}/{}", server.id, id.model, id.adapter);
+            Ending { content, server: server.id.clone(), born, evidence }
+        };
+        loading.iter().map(ending).collect()
+    }
+
+    /// Returns which start of an engine this host gives orders to.
+    pub(crate) fn born(&self, engine: &str) -> Option<u64> {
+        self.engines.borrow().get(engine).map(|running| running.owned.born)
+    }
+
     /// Answers whether an adapter may be used, once it is loaded; it stays while the use
     /// returned is kept. Calls `on_wait` every now and then while the answer waits for a load.
     pub(crate) async fn answer(
@@ -108,6 +129,12 @@
         if !ask.may_fetch && !owned.ledger.borrow().has_or_fetches(&id) {
             return (Answer::Absent, None);
         }
+        if !owned.ledger.borrow().is_loaded(&id)
+            && let Passage::Held(left) = word::pass(entry, entry.load_content(&id)).await
+        {
+            entry.metrics.requests_held.inc();
+            return (Answer::NotSoon(left.as_millis() as u32), None);
+        }
         let _waiter = Waiter::start(entry, &owned, &id);
         let mut told_at: Option<Duration> = None;
         loop {
@@ -291,6 +318,11 @@
                 entry.metrics.orders.inc();
                 log::debug!("engine {}: {order:?} -> {result:?}", server.id);
                 owned.ledger.borrow_mut().on_result(result, entry.clock.now());
+                if let (OrderKind::Load { adapter, .. }, OrderResult::Holds) = (&order.kind, result)
+                {
+                    let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                    entry.on_whole(entry.load_content(&id));
+                }
                 owned.changed.notify_waiters();
             }
             Step::Observe => {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -213,17 +213,13 @@
             // Its own last attempt counts, once it is known what became of the server.
             word::await_probe(&self.entry, self.content, sent).await;
         }
-        let passage = self.entry.quarantine.borrow().passage(self.content, self.entry.clock.now());
-        match passage {
+        match word::pass(&self.entry, self.content).await {
             Passage::Open => None,
             Passage::Held(left) => Some(left),
-            Passage::Trial => match word::ask_trial(&self.entry, self.content).await {
-                Ok(()) => {
-                    progress.is_trial = true;
-                    None
-                }
-                Err(left) => Some(left),
-            },
+            Passage::Trial => {
+                progress.is_trial = true;
+                None
+            }
         }
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,9 +1,10 @@
 //! What the tasks of an entry host share; all run on one thread.
 
 use guavaspread_fleet::{
-    AdapterId, Catalog, Endings, Grants, LeaseBook, Placement, Quarantine, Roster, RosterChange,
-    Said, Server, Standing, retry_budget, slack_part,
+    AdapterId, Catalog, Ending, Endings, Grants, LeaseBook, Placement, Quarantine, Roster,
+    RosterChange, Said, Server, Standing, retry_budget, slack_part,
 };
+use guavaspread_model::ContentId;
 use guavaspread_placement::RetryBudget;
 use tokio::sync::{Notify, watch};
 
@@ -97,7 +98,8 @@
     pub(crate) fn on_roster(self: &Rc<Self>, changes: Vec<RosterChange>) {
         let mut engines_changed = false;
         for change in changes {
-            let endings = self.endings.borrow_mut().on_change(&change, self.clock.now());
+            let mut endings = self.endings.borrow_mut().on_change(&change, self.clock.now());
+            endings.extend(self.loads_ended(&change));
             self.on_endings(endings);
             match change {
                 RosterChange::Started(server) => {
@@ -126,6 +128,28 @@
         }
     }
 
+    /// Puts an engine's end down to the loads that this host had ordered there.
+    fn loads_ended(&self, change: &RosterChange) -> Vec<Ending> {
+        let (server, is_new) = match change {
+            RosterChange::Started(server) => (server, true),
+            RosterChange::Gone(server) if server.is_ready() => (server, false),
+            RosterChange::Gone(_) | RosterChange::Changed(_) | RosterChange::Draining(_) => {
+                return Vec::new();
+            }
+        };
+        let has_ended =
+            |born: &u64| if is_new { *born < server.born } else { *born == server.born };
+        let born = self.orders.born(&server.id).filter(has_ended);
+        born.map(|born| self.orders.endings(self, server, born)).unwrap_or_default()
+    }
+
+    /// Names the load of an adapter in its newest version, as content that engines may end under.
+    pub(crate) fn load_content(&self, id: &AdapterId) -> ContentId {
+        let version = self.versions.borrow().get(id).map_or(0, |known| known.version);
+        let (model, adapter) = (id.model.as_bytes(), id.adapter.as_bytes());
+        ContentId::of(&[b"load", model, adapter, &version.to_le_bytes()])
+    }
+
     /// Takes over what a server said of itself in an answer.
     pub(crate) fn on_answer(&self, server: &Server, said: Said) {
         if self.placement.borrow_mut().on_answer(server, said, self.clock.now()) {
--- a/crates/entry/src/word.rs
+++ b/crates/entry/src/word.rs
@@ -217,8 +217,21 @@
     }
 }
 
+/// Decides whether a content may be sent to servers; [`Passage::Trial`] stands for a trial that
+/// was granted.
+pub(crate) async fn pass(entry: &Rc<Entry>, content: ContentId) -> Passage {
+    let passage = entry.quarantine.borrow().passage(content, entry.clock.now());
+    match passage {
+        Passage::Open | Passage::Held(_) => passage,
+        Passage::Trial => match ask_trial(entry, content).await {
+            Ok(()) => Passage::Trial,
+            Err(left) => Passage::Held(left),
+        },
+    }
+}
+
 /// Asks for a trial of a content whose hold has run out; `Err` tells how long to refuse it.
-pub(crate) async fn ask_trial(entry: &Rc<Entry>, content: ContentId) -> Result<(), Duration> {
+async fn ask_trial(entry: &Rc<Entry>, content: ContentId) -> Result<(), Duration> {
     let judges = judges(entry, content);
     for (holder, address) in judges {
         if holder == entry.holder {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -12,7 +12,7 @@
 use guavaspread_placement::DemandMap;
 
 use crate::catalog::EngineSpec;
-use crate::order::{Order, Readiness, Step};
+use crate::order::{Order, OrderKind, Readiness, Step};
 use crate::prelude::*;
 use crate::roster::{AdapterId, HeldModel};
 
@@ -255,6 +255,28 @@
         self.places.contains_key(id) || self.recent.contains(id)
     }
 
+    /// Tells whether an adapter is loaded.
+    pub fn is_loaded(&self, id: &AdapterId) -> bool {
+        self.places.get(id).is_some_and(|place| place.state == State::Ready)
+    }
+
+    /// Lists the adapters whose loads are under way, or may be.
+    pub fn loading(&self) -> Vec<AdapterId> {
+        let is_loading = |place: &Place| matches!(place.state, State::Loading { .. });
+        let coming = self.places.iter().filter(|(_, place)| is_loading(place));
+        let mut loading: Vec<AdapterId> = coming.map(|(id, _)| id.clone()).collect();
+        let unsure = self.doubt.iter().map(|doubt| &doubt.order).chain(&self.under_way);
+        for order in unsure {
+            if let OrderKind::Load { adapter, .. } = &order.kind {
+                let id = AdapterId { model: order.model.clone(), adapter: adapter.clone() };
+                if !loading.contains(&id) {
+                    loading.push(id);
+                }
+            }
+        }
+        loading
+    }
+
     /// Tells whether an adapter is at hand, or will be for requests that wait for it.
     pub fn has_or_fetches(&self, id: &AdapterId) -> bool {
         self.is_at_hand(id) || self.wanted.contains_key(id)
