--- a/crates/entry/src/word.rs
+++ b/crates/entry/src/word.rs
@@ -8,6 +8,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use futures::future::join_all;
 use futures::{StreamExt, stream};
 use guavaspread_fleet::{ContentNote, HostLease, KnownContent, Passage, SavedContents, counters};
 use guavaspread_model::ContentId;
@@ -335,12 +336,14 @@
         others.cloned().collect()
     };
     hosts.sort_by_key(|host| host.zone != zone);
-    for host in hosts.into_iter().take(ASKED_AT_START) {
+    hosts.truncate(ASKED_AT_START);
+    let asking = hosts.iter().map(|host| {
         let new_host = Some(entry.holder.clone());
         let news = CrashNews { new_host, ..CrashNews::default() };
-        if let Some(reply) = entry.peers.tell(host.address, news, entry.clock).await {
-            entry.take_over(&reply.notes, PEER);
-        }
+        entry.peers.tell(host.address, news, entry.clock)
+    });
+    for reply in join_all(asking).await.into_iter().flatten() {
+        entry.take_over(&reply.notes, PEER);
     }
 }
 
