Tell hosts at once while the store is slow, and free what a trial has shown to be sound

- One task told hosts and wrote to the store, so that a store that is away held word back for 3.5 s.
They are two now, and hosts that are known hear before the list of hosts is read.
Hosts that don't answer are told again after 0.5 s, 1 s and then every 2 s.
- A host that had not heard yet of a trial that went well named 299 s as the time to come back (seen once, in a_sound_request_under_three_unlucky_servers_is_served_after_its_hold, which asked it within the same millisecond).
While word of a trial may come, 10 s at most are named.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -64,6 +64,7 @@
     spawn_local(relays::subscribe(entry.clone()));
     spawn_local(renewals::write(entry.clone()));
     spawn_local(word::spread(entry.clone()));
+    spawn_local(word::keep(entry.clone()));
     spawn_local(sweep(entry.clone()));
     spawn_local(watch_settings(entry.clone(), path));
     let mut term = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
--- a/crates/entry/src/word.rs
+++ b/crates/entry/src/word.rs
@@ -10,7 +10,9 @@
 
 use futures::future::join_all;
 use futures::{StreamExt, stream};
-use guavaspread_fleet::{ContentNote, HostLease, KnownContent, Passage, SavedContents, counters};
+use guavaspread_fleet::{
+    Backoff, ContentNote, HostLease, KnownContent, Passage, SavedContents, counters,
+};
 use guavaspread_model::ContentId;
 use tokio::sync::Notify;
 
@@ -24,8 +26,14 @@
 const PEER: &str = "by a peer's word";
 /// Before the store is written to again that did not answer as asked.
 const SAVE_PAUSE: Duration = Duration::from_millis(1_500);
-/// Before hosts are told again that did not answer, and between two looks at who they are.
+/// Before hosts are told again that did not answer: at first, and at most, so that one that was
+/// cut off hears soon after.
 const TELL_PAUSE: Duration = Duration::from_millis(500);
+const TELL_PAUSE_MAX: Duration = Duration::from_millis(2_000);
+/// Between two looks at what has been forgotten since.
+const KEEP_PAUSE: Duration = Duration::from_secs(30);
+/// What is remembered of who was told what, before contents that were forgotten are left out.
+const TOLD_MAX: usize = 16_384;
 /// How old the list of hosts may be when they are told: one that started since asks by itself.
 const HOSTS_FRESH_FOR: Duration = Duration::from_secs(3);
 /// Hosts that are told at once: each may take a connection.
@@ -48,6 +56,7 @@
 #[derive(Default)]
 pub(crate) struct Word {
     changed: Notify,
+    unsaved: Notify,
     probed: Notify,
     /// What each host was told of a content: the revision here.
     told: RefCell<HashMap<(Arc<str>, ContentId), u64>>,
@@ -73,6 +82,7 @@
     /// Takes over that there is something to tell.
     pub(crate) fn on_change(&self) {
         self.changed.notify_one();
+        self.unsaved.notify_one();
     }
 
     /// Takes over that a probe has ended.
@@ -94,6 +104,7 @@
         self.settled.borrow().contents.get(&known.content) == Some(&known.revision)
     }
 
+    /// Takes over that a host has started anew and knows nothing.
     fn forget_host(&self, holder: &str) {
         self.told.borrow_mut().retain(|(other, _), _| &**other != holder);
         self.settled.borrow_mut().contents.clear();
@@ -106,8 +117,11 @@
             settled.hosts = hosts.iter().map(|host| host.holder.clone()).collect();
             settled.contents.clear();
             let known: HashSet<&Arc<str>> = settled.hosts.iter().collect();
-            let mut told = self.told.borrow_mut();
-            told.retain(|(host, content), _| known.contains(host) && contents.contains(content));
+            self.told.borrow_mut().retain(|(host, _), _| known.contains(host));
+        }
+        if self.told.borrow().len() > TOLD_MAX {
+            self.told.borrow_mut().retain(|(_, content), _| contents.contains(content));
+            settled.contents.retain(|content, _| contents.contains(content));
         }
     }
 }
@@ -135,6 +149,7 @@
         let quarantine = self.quarantine.borrow();
         if let Some(host) = &news.new_host {
             self.word.forget_host(host);
+            self.word.on_change();
             let for_all = quarantine.contents().filter(|known| known.is_for_all);
             let notes = for_all.filter_map(|known| quarantine.note(known.content, now));
             reply.notes = notes.take(NOTES_MAX).collect();
@@ -282,25 +297,36 @@
         log::warn!("no other host said under which contents servers ended");
     }
     entry.word.has_learnt.set(true);
-    let mut is_behind = false;
+    let mut backoff = Backoff::new(TELL_PAUSE, TELL_PAUSE_MAX);
     loop {
         let changed = entry.word.changed.notified();
-        let has_rows = !entry.word.saved.borrow().is_empty();
-        if is_behind || has_rows || !entry.quarantine.borrow().is_empty() {
-            // Hosts come, and hosts that did not answer are told again.
-            let _ = tokio::time::timeout(TELL_PAUSE, changed).await;
-        } else {
+        if tell_all(&entry).await {
+            backoff.on_success();
             changed.await;
-        }
-        is_behind = tell_all(&entry).await;
-        if let Err(e) = save(&entry).await {
-            log::warn!("the store was not told of contents: {e}");
-            tokio::time::sleep(SAVE_PAUSE).await;
-            is_behind = true;
+        } else {
+            // Hosts that did not answer are told again.
+            let _ = tokio::time::timeout(backoff.on_failure(), changed).await;
         }
     }
 }
 
+/// Keeps in the store what has to outlast all hosts, until the process ends.
+pub(crate) async fn keep(entry: Rc<Entry>) {
+    loop {
+        let unsaved = entry.word.unsaved.notified();
+        let pause = match save(&entry).await {
+            Ok(()) => KEEP_PAUSE,
+            Err(e) => {
+                log::warn!("the store was not told of contents: {e}");
+                tokio::time::sleep(SAVE_PAUSE).await;
+                continue;
+            }
+        };
+        // Without a change some may have been forgotten.
+        let _ = tokio::time::timeout(pause, unsaved).await;
+    }
+}
+
 /// Writes to the store what has to outlast all hosts.
 async fn save(entry: &Entry) -> Result<(), StoreError> {
     let now = entry.clock.now();
@@ -347,29 +373,31 @@
     }
 }
 
-/// Tells each host what it has to hear; returns whether some did not answer.
+/// Tells each host what it has to hear; returns whether all have taken it over.
 async fn tell_all(entry: &Rc<Entry>) -> bool {
-    if has_news(entry) {
-        look_for_hosts(entry).await;
-    }
-    let telling = stream::iter(untold(entry)).map(|(host, known)| tell(entry, host, known));
-    let told: Vec<bool> = telling.buffer_unordered(TOLD_AT_ONCE).collect().await;
-    told.contains(&false)
+    let are_told = tell_untold(entry).await;
+    // The store may take its time, or be away: hosts that are known hear first.
+    if look_for_hosts(entry).await { tell_untold(entry).await } else { are_told }
 }
 
-fn has_news(entry: &Entry) -> bool {
-    entry.quarantine.borrow().contents().any(|known| !entry.word.is_settled(&known))
+async fn tell_untold(entry: &Rc<Entry>) -> bool {
+    let telling = stream::iter(untold(entry)).map(|(host, known)| tell(entry, host, known));
+    let told: Vec<bool> = telling.buffer_unordered(TOLD_AT_ONCE).collect().await;
+    !told.contains(&false)
 }
 
-/// Reads which hosts there are: without a free engine nobody reads the leases.
-async fn look_for_hosts(entry: &Rc<Entry>) {
+/// Reads which hosts there are, if something is to be told and nobody has read them lately:
+/// without a free engine nobody does.
+async fn look_for_hosts(entry: &Rc<Entry>) -> bool {
     let now = entry.clock.now();
-    if entry.word.looked_at.get().is_some_and(|at| now < at + HOSTS_FRESH_FOR) {
-        return;
+    let is_fresh = entry.word.looked_at.get().is_some_and(|at| now < at + HOSTS_FRESH_FOR);
+    if is_fresh || entry.quarantine.borrow().is_empty() {
+        return false;
     }
     entry.word.looked_at.set(Some(now));
     let after = entry.leases.borrow().revision();
     follow::read_leases(entry, after).await;
+    true
 }
 
 async fn tell(entry: &Rc<Entry>, host: HostLease, known: Vec<KnownContent>) -> bool {
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -30,6 +30,8 @@
     Duration::from_secs(60 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
+/// Within which it is mostly known what came of a trial: callers may come back then.
+const TRIAL_TIME: Duration = Duration::from_secs(10);
 /// Ends from which on hosts that don't count the content hear of it.
 const ENDS_TOLD: usize = 2;
 /// How long content is remembered behind the last end under it, if it is not held for longer.
@@ -207,6 +209,12 @@
         Some(by_ends.max(by_trial.unwrap_or_default()))
     }
 
+    /// Returns until when word of a trial may come.
+    fn trial_until(&self) -> Option<Duration> {
+        let at = self.last_trial_at?;
+        self.ends.iter().all(|end| end.at < at).then_some(at + TRIAL_TIME)
+    }
+
     fn add_end(&mut self, start: u64, at: Duration) -> bool {
         let is_known =
             self.cleared.contains(&start) || self.ends.iter().any(|end| end.start == start);
@@ -292,7 +300,10 @@
         let Some(record) = self.records.get(&content) else { return Passage::Open };
         match record.held_until() {
             None => Passage::Open,
-            Some(until) if until > now => Passage::Held(until - now),
+            Some(until) if until > now => {
+                let trial_until = record.trial_until().filter(|until| *until > now);
+                Passage::Held(until.min(trial_until.unwrap_or(until)) - now)
+            }
             Some(_) => Passage::Trial,
         }
     }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -96,6 +96,10 @@
     assert!(!quarantine.grant_trial(content("x"), NOW + HOLD - ms(1)));
     assert!(quarantine.grant_trial(content("x"), NOW + HOLD));
     assert!(!quarantine.grant_trial(content("x"), NOW + HOLD + ms(1)));
+    // Who comes meanwhile may come back once that is known.
+    let left = Passage::Held(Duration::from_secs(10) - ms(1));
+    assert_eq!(quarantine.passage(content("x"), NOW + HOLD + ms(1)), left);
+    assert!(!quarantine.grant_trial(content("x"), NOW + HOLD + Duration::from_secs(11)));
     // It ended a server too.
     quarantine.on_end(&ending("x", "s", 9), NOW + HOLD + ms(5));
     let left = Duration::from_secs(300);
