Do not hold a request for servers that were lost together

A stream whose server ended was resumed, and its caller asked again, each time at a server that had just been lost too.

Cause: the ends were counted as if apart. Now ends within a second count as two, and from four on as much as three that are apart; a request's own three ends still end it. What a content that ends servers costs more: one server more at most, within the three retries of the rule. Holds grow with trials that fail, not with ends that came at once.

Also seen there: hosts that had all just started took over holds of 21 s left as 29 s, since a moment before the process's start could not be told. And hosts dated the same end differently; the earliest counts now.

Tests: servers_that_end_together_count_as_two, a_hold_is_no_longer_for_a_host_that_has_just_started (both fail before); the interleavings compare what is held on all hosts. Tests that need three ends now let them come 0.6 s apart; the reproduction has two more cases with three at once, 20 ms apart.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -34,6 +34,8 @@
 /// Full engines that a request asks before it is refused.
 const FULL_MAX: u32 = 4;
 
+/// Servers that may end under one request before it is given up, however soon they did.
+const OWN_ENDS_MAX: u32 = 3;
 /// Engines asked whether they have an adapter at hand before another one fetches it: as many
 /// as its requests may have moved to while engines were lost.
 const OTHERS_ASKED: usize = 2;
@@ -213,6 +215,10 @@
             // Its own last attempt counts, once it is known what became of the server.
             word::await_probe(&self.entry, self.content, sent).await;
         }
+        let ends = self.entry.quarantine.borrow().ends(self.content);
+        if sent >= OWN_ENDS_MAX && ends >= OWN_ENDS_MAX as usize {
+            return Some(Duration::ZERO);
+        }
         match word::pass(&self.entry, self.content).await {
             Passage::Open => None,
             Passage::Held(left) => Some(left),
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -22,6 +22,17 @@
 
 /// Servers that end under content before it is held.
 const ENDS_MAX: usize = 3;
+/// Servers that end that soon after each other may have ended together, for a reason beyond the
+/// content, as when a part of them is lost: requests that are sent again at once meet several.
+const BURST: Duration = Duration::from_secs(1);
+/// Ends that count of such a burst.
+const BURST_ENDS: usize = 2;
+/// Ends of a burst that are not put down to chance: they count as much as three that are apart.
+const ENDS_CERTAIN: usize = 4;
+/// By how much word of one end may differ, by its way between hosts.
+const TRANSIT: Duration = Duration::from_millis(100);
+/// Added to the time that callers pass, so that what is older than they are has a moment.
+const EPOCH: Duration = Duration::from_secs(60 * 24 * 60 * 60);
 /// How long it is held behind the third end, the fourth, and so on: a trial that fails costs a
 /// server with all that it runs.
 const HOLDS: [Duration; 4] = [
@@ -201,12 +212,37 @@
     /// Returns the end of the hold, if the content is held or was.
     fn held_until(&self) -> Option<Duration> {
         let last = self.ends.iter().map(|end| end.at).max()?;
-        let further = self.ends.len().checked_sub(ENDS_MAX)?;
-        let hold = |n: usize| HOLDS.get(n).or(HOLDS.last()).copied().unwrap_or_default();
-        let by_ends = last + hold(further);
-        // A trial of which nothing was heard counts like one that failed.
-        let by_trial = self.last_trial_at.map(|at| at + hold(self.trials as usize));
-        Some(by_ends.max(by_trial.unwrap_or_default()))
+        if self.counted() < ENDS_MAX {
+            return None;
+        }
+        // A trial of which nothing was heard counts like one that failed; of one that failed at a
+        // host that is gone, only the end is known.
+        let failed = (self.trials as usize).max(self.bursts().len().saturating_sub(ENDS_MAX));
+        let hold = HOLDS.get(failed).or(HOLDS.last()).copied().unwrap_or_default();
+        Some(last.max(self.last_trial_at.unwrap_or_default()) + hold)
+    }
+
+    /// Returns how many ends count.
+    fn counted(&self) -> usize {
+        let count = |burst: usize| match burst {
+            burst if burst < ENDS_CERTAIN => burst.min(BURST_ENDS),
+            _ => ENDS_MAX,
+        };
+        self.bursts().into_iter().map(count).sum()
+    }
+
+    /// Returns how many servers ended together, and how many after these.
+    fn bursts(&self) -> Vec<usize> {
+        let mut times: Vec<Duration> = self.ends.iter().map(|end| end.at).collect();
+        times.sort();
+        let mut left = times.as_slice();
+        let mut bursts = Vec::new();
+        while let Some(first) = left.first() {
+            let together = left.iter().take_while(|at| **at < *first + BURST).count();
+            bursts.push(together);
+            left = &left[together..];
+        }
+        bursts
     }
 
     /// Returns until when word of a trial may come.
@@ -216,9 +252,17 @@
     }
 
     fn add_end(&mut self, start: u64, at: Duration) -> bool {
-        let is_known =
-            self.cleared.contains(&start) || self.ends.iter().any(|end| end.start == start);
-        if is_known || self.ends.len() >= ENDS_KEPT {
+        if self.cleared.contains(&start) {
+            return false;
+        }
+        if let Some(known) = self.ends.iter_mut().find(|end| end.start == start) {
+            // Who saw it first is nearest to the truth.
+            let is_news = at + TRANSIT < known.at;
+            known.at = known.at.min(at);
+            self.revision += u64::from(is_news);
+            return is_news;
+        }
+        if self.ends.len() >= ENDS_KEPT {
             return false;
         }
         self.ends.push(End { start, at });
@@ -241,7 +285,7 @@
             let cleared = &self.cleared;
             self.ends.retain(|end| !cleared.contains(&end.start));
             self.touched_at = self.touched_at.max(now);
-            if self.ends.len() < ENDS_MAX {
+            if self.counted() < ENDS_MAX {
                 self.trials = 0;
                 self.last_trial_at = None;
             }
@@ -268,6 +312,7 @@
 
     /// Counts the contents that are held.
     pub fn held(&self, now: Duration) -> usize {
+        let now = now + EPOCH;
         let held = |record: &&Record| record.held_until().is_some_and(|until| until > now);
         self.records.values().filter(held).count()
     }
@@ -279,6 +324,7 @@
 
     /// Takes over that a server ended under a content; tells whether that is news.
     pub fn on_end(&mut self, ending: &Ending, now: Duration) -> bool {
+        let now = now + EPOCH;
         let start = content_hash(format!("{}@{}", ending.server, ending.born).as_bytes());
         let record = self.record(ending.content, now);
         let is_news = record.add_end(start, now);
@@ -288,6 +334,7 @@
 
     /// Takes over that a content has run to its end; tells whether any end was counted.
     pub fn on_whole(&mut self, content: ContentId, now: Duration) -> bool {
+        let now = now + EPOCH;
         let Some(record) = self.records.get_mut(&content) else { return false };
         let starts: Vec<u64> = record.ends.iter().map(|end| end.start).collect();
         let is_news = record.clear(starts, now);
@@ -297,6 +344,7 @@
 
     /// Tells whether a content may be sent to servers.
     pub fn passage(&self, content: ContentId, now: Duration) -> Passage {
+        let now = now + EPOCH;
         let Some(record) = self.records.get(&content) else { return Passage::Open };
         match record.held_until() {
             None => Passage::Open,
@@ -314,8 +362,9 @@
             Passage::Open => true,
             Passage::Held(_) => false,
             Passage::Trial => {
+                let now = now + EPOCH;
                 let record = self.record(content, now);
-                let failed = record.ends.len().saturating_sub(ENDS_MAX) as u32;
+                let failed = record.bursts().len().saturating_sub(ENDS_MAX) as u32;
                 record.trials = record.trials.max(failed) + 1;
                 record.last_trial_at = Some(now);
                 record.revision += 1;
@@ -327,6 +376,7 @@
 
     /// Takes over what another host knows; tells whether any of it is news.
     pub fn merge(&mut self, note: &ContentNote, now: Duration) -> bool {
+        let now = now + EPOCH;
         let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         let record = self.record(note.content, now);
         let mut is_news = record.clear(note.cleared.iter().copied(), now);
@@ -334,7 +384,7 @@
             is_news |= record.add_end(*start, at(*age_ms));
         }
         let (trials, age_ms) = note.trials;
-        if trials > record.trials && record.ends.len() >= ENDS_MAX {
+        if trials > record.trials && record.counted() >= ENDS_MAX {
             record.trials = trials;
             record.last_trial_at = record.last_trial_at.max(Some(at(age_ms)));
             record.revision += 1;
@@ -345,6 +395,7 @@
 
     /// Says what is known of a content.
     pub fn note(&self, content: ContentId, now: Duration) -> Option<ContentNote> {
+        let now = now + EPOCH;
         let record = self.records.get(&content)?;
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         Some(ContentNote {
@@ -373,18 +424,19 @@
             revision: record.revision,
             is_own: record.is_own,
             is_for_all: record.ends.len() >= ENDS_TOLD || !record.cleared.is_empty(),
-            is_grave: record.ends.len() >= ENDS_MAX,
+            is_grave: record.counted() >= ENDS_MAX,
         })
     }
 
     /// Forgets what has not come up for long.
     pub fn expire(&mut self, now: Duration) {
+        let now = now + EPOCH;
         self.records.retain(|_, record| !record.is_forgotten(now));
     }
 
     fn record(&mut self, content: ContentId, now: Duration) -> &mut Record {
         if !self.records.contains_key(&content) && self.records.len() >= RECORDS_MAX {
-            self.expire(now);
+            self.records.retain(|_, record| !record.is_forgotten(now));
             // A flood of contents that end one server each must not free those that are held.
             let least = self.records.iter().min_by_key(|(_, r)| (r.ends.len(), r.touched_at));
             if let Some(least) = least.map(|(content, _)| *content)
