--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -51,6 +51,8 @@
 const RECORDS_MAX: usize = 4_096;
 /// Ends that are remembered of one content: copies of it may run at many servers at once.
 const ENDS_KEPT: usize = 64;
+/// Ends that are remembered as cleared: more than are under way at once between hosts.
+const CLEARED_KEPT: usize = 2 * ENDS_KEPT;
 /// Entry hosts of a zone that count a content: one may fail.
 const COUNTERS: usize = 2;
 
@@ -176,7 +178,6 @@
     counters(content, hosts).iter().take(WRITERS).any(|counter| *counter.holder == *host)
 }
 
-/// Counts the ends of servers under contents, and holds
 /// Says what one host knows of a content; times are ages, as hosts' clocks differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContentNote {
@@ -275,11 +276,14 @@
     fn clear(&mut self, starts: impl IntoIterator<Item = u64>, now: Duration) -> bool {
         let mut is_news = false;
         for start in starts {
-            if !self.cleared.contains(&start) && self.cleared.len() < ENDS_KEPT {
+            if !self.cleared.contains(&start) {
                 self.cleared.push(start);
                 is_news = true;
             }
         }
+        // Word of those that ended first has long come.
+        let beyond = self.cleared.len().saturating_sub(CLEARED_KEPT);
+        self.cleared.drain(..beyond);
         if is_news {
             self.revision += 1;
             let cleared = &self.cleared;
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -118,6 +118,20 @@
     assert_eq!(there.ends(content("x")), 0);
 }
 
+/// The pattern of a request that a caller sends all day, while servers come and go.
+#[test]
+fn content_that_runs_to_its_end_between_servers_ends_is_never_held() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..1_000 {
+        let now = NOW + Duration::from_secs(n * 60);
+        quarantine.on_end(&ending("x", "s", n), now);
+        assert_eq!(quarantine.passage(content("x"), now), Passage::Open, "after {n} ends");
+        assert!(quarantine.on_whole(content("x"), now + ms(500)));
+        quarantine.expire(now);
+    }
+    assert!(quarantine.note(content("x"), NOW).unwrap().cleared.len() <= 128);
+}
+
 #[test]
 fn a_trial_is_granted_once_until_it_is_known_what_came_of_it() {
     let mut quarantine = Quarantine::default();
