Log and count the rate limits that servers name

Server-Limit is now read from every response of the server that the request was meant for, with one log line when a limit is named, changes or ends, which also says how many requests this host sent meanwhile, and metrics for the servers with a limit, invalid limits and requests sent to limited servers. Nothing is decided by it yet.

A notice in a response of another server, which now has the address, no longer counts as one of the expected server.

--- a/crates/entry/src/crash_probe.rs
+++ b/crates/entry/src/crash_probe.rs
@@ -118,7 +118,11 @@
             let response_info = entry.platform.protocol.parse_response(head.status, &head.headers);
             let is_replaced = head.status == StatusCode::MISDIRECTED_REQUEST
                 || response_info.is_other_server(&server.id);
-            if is_replaced { ProbeResult::OtherServer } else { ProbeResult::SameServer }
+            if is_replaced {
+                return ProbeResult::OtherServer;
+            }
+            entry.on_rate_limit(server, response_info.notice.rate_limit);
+            ProbeResult::SameServer
         }
         Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
         Ok(Ok(Err(_)) | Err(_)) | Err(_) => ProbeResult::TimedOut,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -34,6 +34,9 @@
         record.add(Step::Sent { server: server.id.clone(), version, left_ms });
         let mut in_flight = InFlight::start(&self.entry, key);
         in_flight.run = Some(Run { server: server.clone(), content: self.content });
+        if self.entry.placement.borrow().rate_limits().get(server).is_some() {
+            self.entry.metrics.rate_limited_sends.inc();
+        }
         let req = self.build_request(server, version, remaining);
         let send = self.entry.pool.send(server.address, &server.id, req, self.entry.clock);
         let sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send).await;
@@ -76,20 +79,22 @@
         record.add(Step::Answered { status: status.as_u16(), took_ms: elapsed.as_millis() as u64 });
         let response_info =
             self.entry.platform.protocol.parse_response(status, &response.head.headers);
-        self.entry.on_server_notice(server, response_info.notice);
+        if !response_info.is_other_server(&server.id) {
+            self.entry.on_server_notice(server, response_info.notice);
+        }
         if let Some(load) = response_info.load {
             self.entry.placement.borrow_mut().on_load_report(key, load, now);
         }
-        self.classify(key, server, response, &response_info, in_flight, record)
+        self.classify((key, server), response, &response_info, started, in_flight, record)
     }
 
     /// Decides whether to forward the response or to try another server.
     fn classify(
         &self,
-        key: PlacementKey,
-        server: &Arc<Server>,
+        (key, server): (PlacementKey, &Arc<Server>),
         response: ServerResponse,
         response_info: &ResponseInfo,
+        sent_at: Duration,
         in_flight: InFlight,
         record: &mut Record,
     ) -> Attempt {
@@ -100,6 +105,9 @@
             self.entry.placement.borrow_mut().on_request_failed(key, now);
             return Attempt::Failed(AttemptOutcome::Unknown, None);
         }
+        if response_info.is_sealed || response_info.is_not_run {
+            self.entry.on_rate_limit_response(server, response_info, sent_at);
+        }
         if response_info.is_not_run {
             return self.on_refusal(key, server, response, response_info, record);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod platform;
 mod prelude;
 mod process;
+mod rate_limits;
 mod read_budget;
 mod record;
 mod refusals;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -39,6 +39,9 @@
     pub(crate) contents_held: Gauge,
     pub(crate) requests_held: Counter,
     pub(crate) trials: Counter,
+    pub(crate) rate_limits: Gauge,
+    pub(crate) rate_limits_invalid: Counter,
+    pub(crate) rate_limited_sends: Counter,
 }
 
 /// Creates a histogram with buckets from 2 ms to 16 s, each twice the one before.
@@ -65,6 +68,9 @@
             contents_held: Gauge::default(),
             requests_held: Counter::default(),
             trials: Counter::default(),
+            rate_limits: Gauge::default(),
+            rate_limits_invalid: Counter::default(),
+            rate_limited_sends: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
@@ -115,6 +121,21 @@
             "Requests admitted as a trial of whether their content still crashes servers",
             metrics.trials.clone(),
         );
+        registry.register(
+            "rate_limits",
+            "Servers known to have a rate limit",
+            metrics.rate_limits.clone(),
+        );
+        registry.register(
+            "rate_limits_invalid",
+            "Responses that named an invalid rate limit",
+            metrics.rate_limits_invalid.clone(),
+        );
+        registry.register(
+            "rate_limited_sends",
+            "Requests sent to servers with a rate limit",
+            metrics.rate_limited_sends.clone(),
+        );
         metrics
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -169,6 +169,7 @@
         if self.placement.borrow_mut().on_server_notice(server, notice, self.clock.now()) {
             log::info!("server {} sent a notice: {notice:?}", server.id);
         }
+        self.on_rate_limit(server, notice.rate_limit);
     }
 
     /// Returns whether a server accepts requests from this host.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | track the backend servers | [`ServerList`], [`Server`] |
 //! | choose a server | [`Placement`], [`Pick`] |
 //! | respect drain and busy notices of servers | [`ServerNotices`], [`Availability`] |
+//! | track the rate limits that servers name | [`RateLimits`], [`RateLimit`] |
 //! | schedule the load and unload commands to an engine | [`AdapterScheduler`], [`SchedulerStep`] |
 //! | schedule the prefills of an engine | [`PrefillQueue`], [`PrefillAdmission`] |
 //! | acquire and renew leases on engines | [`LeaseManager`], [`LeaseAction`] |
@@ -39,6 +40,7 @@
 mod prefill_queue;
 mod prelude;
 mod quarantine;
+mod rate_limit;
 mod renewal_batch;
 mod retry_shares;
 mod server_list;
@@ -65,6 +67,7 @@
 pub use quarantine::{
     Admission, ContentReport, ContentSummary, PersistedContents, Quarantine, tracking_hosts,
 };
+pub use rate_limit::{LimitChange, NamedLimit, RateLimit, RateLimits};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
 pub use retry_shares::{host_retry_budget, host_retry_slack};
 pub use server_list::{
--- a/crates/fleet/src/notices.rs
+++ b/crates/fleet/src/notices.rs
@@ -9,6 +9,7 @@
 //! the same id starts without notices.
 
 use crate::prelude::*;
+use crate::rate_limit::NamedLimit;
 use crate::server_list::Server;
 
 /// The maximum number of servers with notices: far more than drain or are overloaded at the
@@ -25,6 +26,8 @@
     pub is_draining: bool,
     /// How long the server wants no requests.
     pub retry_after: Option<Duration>,
+    /// The rate of requests that the server accepts from all entry hosts together.
+    pub rate_limit: NamedLimit,
 }
 
 /// Whether a server accepts requests of this host.
@@ -56,7 +59,7 @@
 impl ServerNotices {
     /// Records the notice in a response; returns whether the server's availability changed.
     pub fn on_response(&mut self, server: &Server, received: ServerNotice, now: Duration) -> bool {
-        if received == ServerNotice::default() {
+        if !received.is_draining && received.retry_after.is_none() {
             return false;
         }
         let before = self.availability(server, now);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,6 +19,7 @@
 
 use crate::notices::{Availability, ServerNotice, ServerNotices};
 use crate::prelude::*;
+use crate::rate_limit::{LimitChange, NamedLimit, RateLimits};
 use crate::server_list::{AdapterId, Server};
 
 /// How long an unreachable server is used only as a last resort; doubles with each further failure.
@@ -126,6 +127,7 @@
     candidates: SlotMap<PlacementKey, Candidate>,
     by_id: HashMap<Arc<str>, PlacementKey>,
     notices: ServerNotices,
+    rate_limits: RateLimits,
     demand: DemandMap<AdapterId>,
     total_demand: Demand,
     rotation: Cell<usize>,
@@ -139,6 +141,7 @@
             candidates: SlotMap::with_key(),
             by_id: HashMap::new(),
             notices: ServerNotices::default(),
+            rate_limits: RateLimits::default(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             total_demand: Demand::default(),
             rotation: Cell::new(0),
@@ -188,6 +191,34 @@
         self.notices.on_response(server, notice, now)
     }
 
+    /// Records the rate limit in a server's response, if it names one.
+    pub fn on_rate_limit_named(
+        &mut self,
+        server: &Server,
+        named: NamedLimit,
+        now: Duration,
+    ) -> Option<LimitChange> {
+        match named {
+            NamedLimit::Limit(limit) => self.rate_limits.on_named(server, limit, now),
+            NamedLimit::Absent | NamedLimit::Invalid => None,
+        }
+    }
+
+    /// Records a response without a rate limit to a request that was sent at `sent_at`.
+    pub fn on_rate_limit_absent(
+        &mut self,
+        server: &Server,
+        sent_at: Duration,
+        now: Duration,
+    ) -> Option<LimitChange> {
+        self.rate_limits.on_absent(server, sent_at, now)
+    }
+
+    /// Returns the rate limits of the servers.
+    pub fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
     /// Returns whether a server accepts requests from this host.
     pub fn availability(&self, server: &Server, now: Duration) -> Availability {
         match server.is_ready() {
@@ -312,6 +343,7 @@
     pub fn on_request_sent(&mut self, key: PlacementKey) {
         if let Some(candidate) = self.candidates.get_mut(key) {
             candidate.in_flight += 1;
+            self.rate_limits.on_sent(&candidate.server);
         }
     }
 
--- a/crates/fleet/tests/notices.rs
+++ b/crates/fleet/tests/notices.rs
@@ -10,7 +10,7 @@
 
 use common::server;
 use guavaspread_fleet::{
-    Availability, Pick, Placement, Server, ServerNotice, ServerNotices, ServerState,
+    Availability, NamedLimit, Pick, Placement, Server, ServerNotice, ServerNotices, ServerState,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,10 +19,11 @@
 const STEPS: usize = 60;
 const IDS: [&str; 3] = ["a", "b", "c"];
 const NOW: Duration = Duration::from_secs(10);
-const DRAINING: ServerNotice = ServerNotice { is_draining: true, retry_after: None };
+const DRAINING: ServerNotice =
+    ServerNotice { is_draining: true, retry_after: None, rate_limit: NamedLimit::Absent };
 
 fn busy(ms: u64) -> ServerNotice {
-    ServerNotice { is_draining: false, retry_after: Some(Duration::from_millis(ms)) }
+    ServerNotice { retry_after: Some(Duration::from_millis(ms)), ..ServerNotice::default() }
 }
 
 fn placement(ids: &[&str]) -> Placement {
