Keep to the rate limits of servers, over all entry hosts together

Callers' requests overran servers in need: a server that named Server-Limit got as many requests as before (81 in 4 s with one host and 121 with three, where 17 are allowed; 121 at an engine, where 15 are).

Cause: nothing applied the header. Applying it on each host alone would not do either: the limit is one of all hosts together, and no host knows what the others send. With nine hosts each would get 0.34/s of a limit of 3.1/s, and the bursts of nine buckets add up.

Each limited server has a coordinator among the hosts, by rendezvous over the leases. A request that is about to be sent to the server first asks it for a permit; the coordinator spaces the permits of all hosts, and saves up one. A request without a permit goes to another server at once. Only if none is left, it waits for its turn within half of the time to its latency objective, or is refused as not run, with a Retry-After from the rate. Less urgent requests yield, but get one of eight permits. Denied hosts ask again after a delay that grows with their number, so that calls follow the limit and not the hosts. A host that can't reach the coordinator asks a backup of its zone; all backups together issue half of the limit, so that a partition stays within one and a half times the limit. Probes of crashed servers need a permit too.

A limit ends with a response without it, if its request was sent after the last response that named it. Changes are reported to the coordinator, which informs all hosts; hosts that differ in their lists of hosts read the leases again.

--- a/crates/entry/src/crash_gossip.rs
+++ b/crates/entry/src/crash_gossip.rs
@@ -35,9 +35,6 @@
 const PERSIST_INTERVAL: Duration = Duration::from_secs(30);
 /// Number of acknowledgements beyond which those of expired contents are removed.
 const ACKS_MAX: usize = 16_384;
-/// How old the list of hosts may be when updates are sent. A host that has started since that read
-/// requests the reports itself.
-const HOSTS_TTL: Duration = Duration::from_secs(3);
 /// Updates in flight at once: each may open a connection.
 const CONCURRENT_UPDATES_MAX: usize = 16;
 /// Reports in one update or reply.
@@ -67,8 +64,6 @@
     persisted: RefCell<PersistedContents>,
     /// Whether the requests for reports at the start have finished.
     has_bootstrapped: Cell<bool>,
-    /// When the list of hosts was last read.
-    hosts_read_at: Cell<Option<Duration>>,
 }
 
 /// Caches the contents without pending updates, which a gossip round skips.
@@ -400,7 +395,12 @@
 async fn send_all(entry: &Rc<EntryState>) -> bool {
     let all_acked = send_pending(entry).await;
     // The store may be slow or unavailable, so the known hosts get their updates first.
-    if refresh_hosts(entry).await { send_pending(entry).await } else { all_acked }
+    let has_reports = !entry.quarantine.borrow().is_empty();
+    if has_reports && store_watch::refresh_hosts(entry).await {
+        send_pending(entry).await
+    } else {
+        all_acked
+    }
 }
 
 async fn send_pending(entry: &Rc<EntryState>) -> bool {
@@ -409,22 +409,6 @@
     !acks.contains(&false)
 }
 
-/// Reads the list of hosts if it is outdated and there are reports to send.
-///
-/// The lease task reads the list only while an engine has no owner. Returns whether the list
-/// was read.
-async fn refresh_hosts(entry: &Rc<EntryState>) -> bool {
-    let now = entry.clock.now();
-    let is_fresh = entry.crash_gossip.hosts_read_at.get().is_some_and(|at| now < at + HOSTS_TTL);
-    if is_fresh || entry.quarantine.borrow().is_empty() {
-        return false;
-    }
-    entry.crash_gossip.hosts_read_at.set(Some(now));
-    let after = entry.leases.borrow().revision();
-    store_watch::read_leases(entry, after).await;
-    true
-}
-
 async fn send_update(entry: &Rc<EntryState>, host: HostLease, known: Vec<ContentSummary>) -> bool {
     let now = entry.clock.now();
     let reports = {
--- a/crates/entry/src/crash_probe.rs
+++ b/crates/entry/src/crash_probe.rs
@@ -9,12 +9,18 @@
 use crate::connection_pool::send_once;
 use crate::metrics::CrashLabels;
 use crate::prelude::*;
+use crate::rate_limits;
 use crate::state::EntryState;
 
 /// How long a server may take to respond to a probe; a busy server responds only after the requests
 /// that it runs.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Priority of a probe at a server with a rate limit: retries wait for its result.
+const PROBE_PRIORITY: u8 = 0;
+/// How long a probe waits for its turn at such a server.
+const PROBE_PERMIT_WAIT: Duration = Duration::from_millis(200);
+
 impl EntryState {
     /// Records that a request lost its connection to a server, and starts a probe if needed.
     pub(crate) fn on_connection_lost(
@@ -105,7 +111,11 @@
     }
 }
 
-async fn send_probe(entry: &EntryState, server: &Server) -> ProbeResult {
+async fn send_probe(entry: &Rc<EntryState>, server: &Server) -> ProbeResult {
+    // A server's rate limit includes health checks.
+    if !rate_limits::acquire_permit(entry, server, PROBE_PRIORITY, PROBE_PERMIT_WAIT).await {
+        return ProbeResult::TimedOut;
+    }
     let path = {
         let catalog = entry.catalog.borrow();
         let service = catalog.as_ref().and_then(|catalog| catalog.service(&server.service));
--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -288,7 +288,8 @@
             Ok(
                 PeerResponse::Adapter(_)
                 | PeerResponse::LeaseRenewed { .. }
-                | PeerResponse::Crashes(_),
+                | PeerResponse::Crashes(_)
+                | PeerResponse::Permit(_),
             )
             | Err(_) => {
                 log::warn!("watcher {address} sent an unexpected message; closing the connection");
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -21,10 +21,11 @@
 use crate::intake::prepare;
 use crate::platform::RequestInfo;
 use crate::prelude::*;
+use crate::rate_limits;
 use crate::record::{Record, Step};
 use crate::refusals::{
-    deadline_exceeded, engines_full, no_server, not_loaded, quarantined, retry_budget_spent,
-    unknown_adapter,
+    deadline_exceeded, engines_full, no_server, not_loaded, quarantined, rate_limited,
+    retry_budget_spent, unknown_adapter,
 };
 use crate::respond::problem_response;
 use crate::resume::Resumer;
@@ -178,6 +179,12 @@
                 Selection::Next => continue,
                 Selection::None(refusal) => return SendResult::GivenUp(refusal),
             };
+            if !self.acquire_permit(&server, progress).await {
+                record.add(Step::RateLimited { server: server.id.clone() });
+                progress.exclude(&server);
+                progress.was_refused = false;
+                continue;
+            }
             if progress.attempts.sent_count() > 0 && !self.entry.try_spend_retry(&self.service) {
                 record.add(Step::NoBudget);
                 return SendResult::GivenUp(retry_budget_spent(&progress.attempts));
@@ -245,17 +252,27 @@
     /// Selects a server and requests access to the adapter on it.
     async fn select(&self, progress: &mut Progress, record: &mut Record) -> Selection {
         let now = self.entry.clock.now();
-        let (key, server) = match self.pick(&progress.tried, now) {
+        if progress.tried.is_empty() {
+            self.record_demand(now);
+        }
+        let without_permits = self.without_permits(now);
+        let mut excluded = progress.tried.clone();
+        excluded.extend(without_permits.iter().map(|(server, _)| server.clone()));
+        let (key, server) = match self.pick(&excluded, now) {
             Pick::Server(key, server) => (key, server),
             Pick::Unavailable(available_at) => {
                 record.add(Step::NoServer);
-                let wait = available_at.map(|at| at.saturating_sub(now));
-                return Selection::None(no_server(&progress.attempts, wait));
+                let permit_at = without_permits.into_iter().map(|(_, until)| until).min();
+                return Selection::None(self.no_server(
+                    &progress.attempts,
+                    available_at,
+                    permit_at,
+                ));
             }
         };
         let candidate = (key, server);
         let ((key, server), access) =
-            self.acquire_adapter(candidate, progress.was_refused, &progress.tried, record).await;
+            self.acquire_adapter(candidate, progress.was_refused, &excluded, record).await;
         let (version, hold) = match access {
             Access::Granted(version, hold) => (version, hold),
             Access::LoadTooLate(wait) => {
@@ -282,21 +299,65 @@
         Selection::Server((key, server), version, hold)
     }
 
-    fn pick(&self, tried: &[Arc<str>], now: Duration) -> Pick {
-        let mut placement = self.entry.placement.borrow_mut();
+    /// Acquires a permit if the server has a rate limit; returns whether the request may be sent.
+    ///
+    /// The request waits for its turn only if no other server is left to try.
+    async fn acquire_permit(&self, server: &Server, progress: &Progress) -> bool {
+        let now = self.entry.clock.now();
+        let mut excluded = progress.tried.clone();
+        excluded.push(server.id.clone());
+        excluded.extend(self.without_permits(now).into_iter().map(|(server, _)| server));
+        let has_other =
+            self.entry.placement.borrow().has_untried_server(&self.service, &excluded, now);
+        let wait_max = match has_other {
+            true => Duration::ZERO,
+            // The rest of the time is left for the response.
+            false => self.response_due.saturating_sub(now) / 2,
+        };
+        rate_limits::acquire_permit(&self.entry, server, self.route.priority, wait_max).await
+    }
+
+    /// Lists the servers without permits for this request, and until when they have none.
+    fn without_permits(&self, now: Duration) -> Vec<(Arc<str>, Duration)> {
+        self.entry.placement.borrow().without_permits(&self.service, self.route.priority, now)
+    }
+
+    /// Refuses the request; the times are when a busy server accepts requests again, and when a
+    /// server with a rate limit may have a permit.
+    fn no_server(
+        &self,
+        attempts: &Attempts,
+        available_at: Option<Duration>,
+        permit_at: Option<Duration>,
+    ) -> Refusal {
+        let now = self.entry.clock.now();
+        match permit_at {
+            Some(at) if available_at.is_none_or(|available_at| at <= available_at) => {
+                self.entry.metrics.rate_limited_refusals.inc();
+                rate_limited(attempts, at.saturating_sub(now))
+            }
+            Some(_) | None => no_server(attempts, available_at.map(|at| at.saturating_sub(now))),
+        }
+    }
+
+    fn record_demand(&self, now: Duration) {
+        if let Some(id) = self.adapter() {
+            self.entry.placement.borrow_mut().record_demand(&id, now);
+        }
+    }
+
+    fn pick(&self, excluded: &[Arc<str>], now: Duration) -> Pick {
+        let placement = self.entry.placement.borrow();
         match (&self.info.model, self.adapter()) {
             (Some(_), Some(id)) => {
-                if tried.is_empty() {
-                    placement.record_demand(&id, now);
-                }
                 let tokens = self.info.prompt_tokens;
                 let grant_cache = self.entry.grant_cache.borrow();
                 let is_holder =
                     |server: &Server| grant_cache.get(&server.id, &id, 0, now).is_some();
-                placement.pick_for_adapter(&self.service, &id, tokens, tried, &is_holder, now)
+                placement.pick_for_adapter(&self.service, &id, tokens, excluded, &is_holder, now)
             }
-            (Some(model), None) => placement.pick_for_model(&self.service, model, tried, now),
-            (None, _) => placement.pick_server(&self.service, tried, now),
+            (Some(model), None) => placement.pick_for_model(&self.service, model, excluded, now),
+            (None, _) => placement.pick_server(&self.service, excluded, now),
         }
     }
 
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -34,9 +34,6 @@
         record.add(Step::Sent { server: server.id.clone(), version, left_ms });
         let mut in_flight = InFlight::start(&self.entry, key);
         in_flight.run = Some(Run { server: server.clone(), content: self.content });
-        if self.entry.placement.borrow().rate_limits().get(server).is_some() {
-            self.entry.metrics.rate_limited_sends.inc();
-        }
         let req = self.build_request(server, version, remaining);
         let send = self.entry.pool.send(server.address, &server.id, req, self.entry.clock);
         let sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send).await;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) rate_limits: Gauge,
     pub(crate) rate_limits_invalid: Counter,
     pub(crate) rate_limited_sends: Counter,
+    pub(crate) permits_denied: Counter,
+    pub(crate) rate_limited_refusals: Counter,
 }
 
 /// Creates a histogram with buckets from 2 ms to 16 s, each twice the one before.
@@ -71,6 +73,8 @@
             rate_limits: Gauge::default(),
             rate_limits_invalid: Counter::default(),
             rate_limited_sends: Counter::default(),
+            permits_denied: Counter::default(),
+            rate_limited_refusals: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
@@ -136,6 +140,16 @@
             "Requests sent to servers with a rate limit",
             metrics.rate_limited_sends.clone(),
         );
+        registry.register(
+            "permits_denied",
+            "Requests that got no permit for a server with a rate limit",
+            metrics.permits_denied.clone(),
+        );
+        registry.register(
+            "rate_limited_refusals",
+            "Requests refused because every server was at its rate limit",
+            metrics.rate_limited_refusals.clone(),
+        );
         metrics
     }
 
--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -4,7 +4,9 @@
 //! with postcard in length-delimited frames. Several requests may be in flight on a connection;
 //! an id links each reply to its request.
 
-use guavaspread_fleet::{ContentReport, HostLease, LeaseSummary};
+use guavaspread_fleet::{
+    ContentReport, HostLease, LeaseSummary, LimitReport, PermitDecision, PermitRequest,
+};
 use guavaspread_model::ContentId;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +28,10 @@
     WatchFeeds,
     /// Reports server crashes by content.
     Crashes(CrashUpdate),
+    /// Requests a permit to send a request to a server with a rate limit.
+    Permit(PermitCall),
+    /// Reports a server's rate limit.
+    RateLimit(LimitUpdate),
 }
 
 /// A message from the host that accepted the connection.
@@ -45,6 +51,56 @@
     },
     /// Acknowledges a crash update.
     Crashes(CrashUpdateReply),
+    /// Replies to a request for a permit.
+    Permit(PermitReply),
+}
+
+/// Requests a permit to send a request to a server with a rate limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitCall {
+    /// Links the reply to this request.
+    pub request_id: u32,
+    /// The server and its limit, as the sender knows it.
+    pub report: LimitReport,
+    /// The request to the permit issuer.
+    pub request: PermitRequest,
+    /// Digest of the hosts that the sender knows.
+    pub hosts_digest: u64,
+}
+
+/// Replies to a [`PermitCall`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// The id of the request.
+    pub request_id: u32,
+    /// The decision.
+    pub decision: PermitDecision,
+    /// The server's limit, as the sender of the reply knows it.
+    pub report: LimitReport,
+    /// Digest of the hosts that the sender of the reply knows.
+    pub hosts_digest: u64,
+}
+
+/// Reports a server's rate limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitUpdate {
+    /// The server and its limit.
+    pub report: LimitReport,
+    /// To whom the receiver passes the report on.
+    pub relay: LimitRelay,
+    /// Digest of the hosts that the sender knows.
+    pub hosts_digest: u64,
+}
+
+/// To whom the receiver of a [`LimitUpdate`] passes it on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LimitRelay {
+    /// To all hosts: the receiver is the server's coordinator.
+    AllHosts,
+    /// To the hosts of the receiver's zone.
+    Zone,
+    /// To nobody.
+    None,
 }
 
 /// Reports the server crashes by content that the sender knows of.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,8 +13,8 @@
 use crate::feed_relay;
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{
-    AdapterReply, AdapterRequest, AdapterStatus, CrashUpdate, CrashUpdateReply, PeerRequest,
-    PeerResponse, Renewal, RenewalRequest,
+    AdapterReply, AdapterRequest, AdapterStatus, CrashUpdate, CrashUpdateReply, LimitUpdate,
+    PeerRequest, PeerResponse, PermitCall, PermitReply, Renewal, RenewalRequest,
 };
 use crate::prelude::*;
 use crate::state::EntryState;
@@ -37,6 +37,8 @@
 const RENEW_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a peer may take to acknowledge a crash update.
 const CRASH_UPDATE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a peer may take to decide on a permit, which it does without waiting.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a peer gets no requests after a timeout.
 const SUSPENSION_TIME: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +51,8 @@
     ReleaseAdapter(u32),
     RenewLease(HostLease, oneshot::Sender<Option<Renewal>>),
     Crashes(CrashUpdate, oneshot::Sender<CrashUpdateReply>),
+    Permit(PermitCall, oneshot::Sender<PermitReply>),
+    RateLimit(LimitUpdate),
 }
 
 /// Keeps a connection to each peer that this host sends requests to.
@@ -170,6 +174,38 @@
         }
     }
 
+    /// Requests a permit from the host at `address`; `None` if it does not respond in time.
+    pub(crate) async fn request_permit(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        call: PermitCall,
+        clock: Clock,
+    ) -> Option<PermitReply> {
+        let suspended_until = self.suspended_until.borrow().get(&address).copied();
+        if suspended_until.is_some_and(|until| clock.now() < until) {
+            return None;
+        }
+        let (reply_tx, reply_rx) = oneshot::channel();
+        self.connection(address).try_send(Outgoing::Permit(call, reply_tx)).ok()?;
+        match tokio::time::timeout(PERMIT_TIMEOUT, reply_rx).await {
+            Ok(Ok(reply)) => Some(reply),
+            Ok(Err(_)) | Err(_) => {
+                log::warn!("entry host {address} did not decide on a permit; suspending requests");
+                self.suspend(address, clock);
+                None
+            }
+        }
+    }
+
+    /// Sends the report of a server's limit to the host at `address`, without acknowledgement.
+    ///
+    /// A host that misses it learns the limit from the server's own responses.
+    pub(crate) fn send_limit_update(self: &Rc<Self>, address: SocketAddr, update: LimitUpdate) {
+        if self.connection(address).try_send(Outgoing::RateLimit(update)).is_err() {
+            log::debug!("a rate limit was not reported to {address}: its queue is full or closed");
+        }
+    }
+
     /// Drops the connection to a peer and suspends requests to it for `SUSPENSION_TIME`.
     fn suspend(&self, address: SocketAddr, clock: Clock) {
         self.connections.borrow_mut().remove(&address);
@@ -196,6 +232,7 @@
     adapter_requests: HashMap<u32, ReplySender>,
     renewals: HashMap<u32, oneshot::Sender<Option<Renewal>>>,
     crash_updates: HashMap<u32, oneshot::Sender<CrashUpdateReply>>,
+    permit_calls: HashMap<u32, oneshot::Sender<PermitReply>>,
     last_request_id: u32,
 }
 
@@ -228,6 +265,13 @@
                 self.crash_updates.insert(update.request_id, reply_tx);
                 PeerRequest::Crashes(update)
             }
+            Outgoing::Permit(mut call, reply_tx) => {
+                call.request_id = self.next_request_id();
+                self.permit_calls.retain(|_, reply_tx| !reply_tx.is_closed());
+                self.permit_calls.insert(call.request_id, reply_tx);
+                PeerRequest::Permit(call)
+            }
+            Outgoing::RateLimit(update) => PeerRequest::RateLimit(update),
             Outgoing::FirstToken(request_id) => PeerRequest::FirstToken(request_id),
             Outgoing::ReleaseAdapter(request_id) => PeerRequest::ReleaseAdapter(request_id),
         }
@@ -255,6 +299,13 @@
                 }
                 Next::Continue
             }
+            PeerResponse::Permit(reply) => {
+                if let Some(reply_tx) = self.permit_calls.remove(&reply.request_id) {
+                    // The receiver may have timed out.
+                    let _ = reply_tx.send(reply);
+                }
+                Next::Continue
+            }
             PeerResponse::FeedUpdate(_) => Next::Close,
         }
     }
@@ -397,6 +448,13 @@
                     );
                 }
             }
+            PeerRequest::Permit(call) => {
+                let reply = PeerResponse::Permit(self.entry.on_permit_call(call));
+                if self.tx.try_send(frame(&reply)).is_err() {
+                    log::debug!("a permit was not sent: the peer's queue is full or closed");
+                }
+            }
+            PeerRequest::RateLimit(update) => self.entry.on_limit_update(update),
             PeerRequest::WatchFeeds => {
                 tokio::task::spawn_local(feed_relay::relay_feeds(
                     self.entry.clone(),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -112,6 +112,8 @@
         owned_engines: OwnedEngines::default(),
         crash_detector: RefCell::default(),
         quarantine: RefCell::default(),
+        hosts_read_at: Cell::default(),
+        permit_issuer: RefCell::default(),
         crash_gossip: CrashGossip::default(),
         retry_budgets: RefCell::default(),
         lease_holder_count: Cell::new(0),
--- a/crates/entry/src/rate_limits.rs
+++ b/crates/entry/src/rate_limits.rs
@@ -1,26 +1,64 @@
-//! Rate limits that backend servers name in their responses.
+//! Rate limits that backend servers name in their responses, and the permits to send requests to
+//! such servers.
+//!
+//! A host that learns or ends a limit by a response reports it to the server's coordinator, which
+//! informs all hosts. The reports are sent once: a host that misses one learns the limit from the
+//! next response that it gets.
 
-use guavaspread_fleet::{LimitChange, NamedLimit, Server};
+use std::net::SocketAddr;
 
+use guavaspread_fleet::{
+    CoordinatorRole, HostLease, LimitChange, LimitReport, NamedLimit, PermitDecision,
+    PermitRequest, Server, hosts_digest, permit_coordinators, zone_count,
+};
+use guavaspread_model::rendezvous_score;
+
+use crate::peer_message::{LimitRelay, LimitUpdate, PermitCall, PermitReply};
 use crate::platform::ResponseInfo;
 use crate::prelude::*;
 use crate::state::EntryState;
+use crate::store_watch;
+
+/// Hosts per zone that relay a coordinator's report to their zone; one may be down.
+const RELAYS_PER_ZONE: usize = 2;
+/// How long a server gets no requests of this host when no coordinator responds.
+const NO_COORDINATOR_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
+/// How a limit became known, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Response,
+    Peer,
+}
+
+/// A host that may be asked for a permit.
+struct Coordinator {
+    holder: Arc<str>,
+    address: SocketAddr,
+    role: CoordinatorRole,
+}
 
 impl EntryState {
     /// Applies the rate limit in a server's response, if it names one.
-    pub(crate) fn on_rate_limit(&self, server: &Server, named: NamedLimit) {
-        if named == NamedLimit::Invalid {
-            self.metrics.rate_limits_invalid.inc();
-            log::debug!("server {} named an invalid rate limit, which is ignored", server.id);
+    pub(crate) fn on_rate_limit(self: &Rc<Self>, server: &Server, named: NamedLimit) {
+        match named {
+            NamedLimit::Absent => {}
+            NamedLimit::Invalid => {
+                self.metrics.rate_limits_invalid.inc();
+                log::debug!("server {} named an invalid rate limit, which is ignored", server.id);
+            }
+            NamedLimit::Limit(limit) => {
+                let now = self.clock.now();
+                let change =
+                    self.placement.borrow_mut().rate_limits_mut().on_named(server, limit, now);
+                self.on_limit_change(&server.id, change, Source::Response);
+            }
         }
-        let now = self.clock.now();
-        let change = self.placement.borrow_mut().on_rate_limit_named(server, named, now);
-        self.on_limit_change(server, change);
     }
 
     /// Ends a server's rate limit if its response to a request sent at `sent_at` names none.
     pub(crate) fn on_rate_limit_response(
-        &self,
+        self: &Rc<Self>,
         server: &Server,
         response_info: &ResponseInfo,
         sent_at: Duration,
@@ -31,26 +69,230 @@
             return;
         }
         let now = self.clock.now();
-        let change = self.placement.borrow_mut().on_rate_limit_absent(server, sent_at, now);
-        self.on_limit_change(server, change);
+        let change = self.placement.borrow_mut().rate_limits_mut().on_absent(server, sent_at, now);
+        self.on_limit_change(&server.id, change, Source::Response);
+    }
+
+    /// Decides on a peer's request for a permit.
+    pub(crate) fn on_permit_call(self: &Rc<Self>, call: PermitCall) -> PermitReply {
+        self.check_hosts(call.hosts_digest);
+        self.merge_limit(&call.report);
+        let (decision, report) = self.decide_permit(call.report, &call.request);
+        let hosts_digest = self.hosts_digest();
+        PermitReply { request_id: call.request_id, decision, report, hosts_digest }
+    }
+
+    /// Applies a peer's report of a limit, and relays it.
+    pub(crate) fn on_limit_update(self: &Rc<Self>, update: LimitUpdate) {
+        self.check_hosts(update.hosts_digest);
+        let has_changed = self.merge_limit(&update.report);
+        match update.relay {
+            LimitRelay::AllHosts if has_changed => self.announce_limit(&update.report.server),
+            LimitRelay::Zone => self.relay_to_zone(&update.report.server),
+            LimitRelay::AllHosts | LimitRelay::None => {}
+        }
+    }
+
+    /// Decides on a permit as a coordinator; also returns the server's limit as known here.
+    fn decide_permit(
+        self: &Rc<Self>,
+        asked: LimitReport,
+        request: &PermitRequest,
+    ) -> (PermitDecision, LimitReport) {
+        let now = self.clock.now();
+        let known = self.placement.borrow().rate_limits().report(&asked.server, now);
+        let report = known.unwrap_or(asked);
+        let Some(limit) = report.limit else {
+            return (PermitDecision::Granted(Duration::ZERO), report);
+        };
+        let zones = zone_count(self.leases.borrow().live_hosts_at_last_read());
+        let mut issuer = self.permit_issuer.borrow_mut();
+        let is_new_primary =
+            request.role == CoordinatorRole::Primary && !issuer.is_primary_of(&report.server);
+        let decision =
+            issuer.request(&report.server, report.started_at_ms, limit, zones, request, now);
+        drop(issuer);
+        if is_new_primary {
+            log::info!("this host issues the permits of server {} at {limit}", report.server);
+            // Hosts with an outdated list of hosts may know another coordinator.
+            self.announce_limit(&report.server);
+        }
+        (decision, report)
+    }
+
+    fn merge_limit(self: &Rc<Self>, report: &LimitReport) -> bool {
+        let now = self.clock.now();
+        let change = self.placement.borrow_mut().rate_limits_mut().merge(report, now);
+        self.on_limit_change(&report.server, change, Source::Peer);
+        change.is_some()
     }
 
-    fn on_limit_change(&self, server: &Server, change: Option<LimitChange>) {
+    fn on_limit_change(
+        self: &Rc<Self>,
+        server: &Arc<str>,
+        change: Option<LimitChange>,
+        source: Source,
+    ) {
+        let Some(change) = change else { return };
+        let source_text = match source {
+            Source::Response => "its response",
+            Source::Peer => "a peer",
+        };
         match change {
-            None => return,
-            Some(LimitChange::Named(limit)) => {
-                log::info!("server {} named a rate limit of {limit}", server.id);
+            LimitChange::Named(limit) => {
+                log::info!(
+                    "server {server} has a rate limit of {limit}, according to {source_text}"
+                );
+            }
+            LimitChange::Changed(limit) => {
+                log::info!(
+                    "server {server} changed its limit to {limit}, according to {source_text}"
+                );
             }
-            Some(LimitChange::Changed(limit)) => {
-                log::info!("server {} changed its rate limit to {limit}", server.id);
+            LimitChange::Ended { after, sent_count } => {
+                self.permit_issuer.borrow_mut().remove(server);
+                log::info!(
+                    "server {server} has no rate limit any more, according to {source_text}; this \
+                     host sent it {sent_count} requests in {:.1} s",
+                    after.as_secs_f64()
+                );
             }
-            Some(LimitChange::Ended { after, sent_count }) => log::info!(
-                "server {} no longer names a rate limit; this host sent it {sent_count} requests \
-                 in {:.1} s",
-                server.id,
-                after.as_secs_f64()
-            ),
         }
         self.metrics.rate_limits.set(self.placement.borrow().rate_limits().len() as i64);
+        if source == Source::Response {
+            tokio::task::spawn_local(report_limit(self.clone(), server.clone()));
+        }
+    }
+
+    /// Reads the list of hosts again if a peer knows other hosts.
+    fn check_hosts(self: &Rc<Self>, peer_digest: u64) {
+        if peer_digest != self.hosts_digest() {
+            let entry = self.clone();
+            tokio::task::spawn_local(async move { store_watch::refresh_hosts(&entry).await });
+        }
+    }
+
+    fn hosts_digest(&self) -> u64 {
+        hosts_digest(self.leases.borrow().live_hosts_at_last_read())
+    }
+
+    fn coordinators(&self, server: &str) -> Vec<Coordinator> {
+        let zone = self.cfg.borrow().zone.clone();
+        let leases = self.leases.borrow();
+        let coordinators = permit_coordinators(server, &zone, leases.live_hosts_at_last_read());
+        let coordinators = coordinators.into_iter().map(|(host, role)| Coordinator {
+            holder: host.holder.clone(),
+            address: host.address,
+            role,
+        });
+        coordinators.collect()
+    }
+
+    /// Reports a server's limit to all hosts: to those of this zone directly, to those of each
+    /// other zone through a few of them.
+    fn announce_limit(self: &Rc<Self>, server: &Arc<str>) {
+        let zone = self.cfg.borrow().zone.clone();
+        let mut hosts: Vec<HostLease> =
+            self.leases.borrow().live_hosts_at_last_read().cloned().collect();
+        hosts.sort_by_key(|host| rendezvous_score(server, &host.holder));
+        let mut relays: HashMap<Arc<str>, usize> = HashMap::new();
+        for host in hosts.iter().filter(|host| host.holder != self.holder) {
+            if host.zone == zone {
+                self.send_limit(host.address, server, LimitRelay::None);
+                continue;
+            }
+            let count = relays.entry(host.zone.clone()).or_default();
+            *count += 1;
+            if *count <= RELAYS_PER_ZONE {
+                self.send_limit(host.address, server, LimitRelay::Zone);
+            }
+        }
+    }
+
+    fn relay_to_zone(self: &Rc<Self>, server: &Arc<str>) {
+        let zone = self.cfg.borrow().zone.clone();
+        let hosts: Vec<HostLease> =
+            self.leases.borrow().live_hosts_at_last_read().cloned().collect();
+        let others = |host: &&HostLease| host.zone == zone && host.holder != self.holder;
+        for host in hosts.iter().filter(others) {
+            self.send_limit(host.address, server, LimitRelay::None);
+        }
+    }
+
+    fn send_limit(self: &Rc<Self>, address: SocketAddr, server: &str, relay: LimitRelay) {
+        let report = self.placement.borrow().rate_limits().report(server, self.clock.now());
+        let Some(report) = report else { return };
+        let update = LimitUpdate { report, relay, hosts_digest: self.hosts_digest() };
+        self.peers.send_limit_update(address, update);
+    }
+}
+
+/// Reports a limit that this host learned or ended to the server's coordinator.
+async fn report_limit(entry: Rc<EntryState>, server: Arc<str>) {
+    store_watch::refresh_hosts(&entry).await;
+    let Some(primary) = entry.coordinators(&server).into_iter().next() else { return };
+    if primary.holder == entry.holder {
+        entry.announce_limit(&server);
+    } else {
+        entry.send_limit(primary.address, &server, LimitRelay::AllHosts);
+    }
+}
+
+/// Acquires a permit to send a request to a server, which may have no limit.
+///
+/// Waits up to `wait_max` for the request's turn; returns whether the request may be sent.
+pub(crate) async fn acquire_permit(
+    entry: &Rc<EntryState>,
+    server: &Server,
+    priority: u8,
+    wait_max: Duration,
+) -> bool {
+    let report = {
+        let placement = entry.placement.borrow();
+        if placement.rate_limits().get(server).is_none() {
+            return true;
+        }
+        placement.rate_limits().report(&server.id, entry.clock.now())
+    };
+    let Some(report) = report else { return true };
+    let decision = request_decision(entry, report, priority, wait_max).await;
+    match decision {
+        PermitDecision::Granted(delay) => {
+            entry.metrics.rate_limited_sends.inc();
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            true
+        }
+        PermitDecision::Denied(delay) => {
+            entry.metrics.permits_denied.inc();
+            let until = entry.clock.now() + delay;
+            let mut placement = entry.placement.borrow_mut();
+            placement.rate_limits_mut().on_denied(server, priority, until);
+            false
+        }
+    }
+}
+
+async fn request_decision(
+    entry: &Rc<EntryState>,
+    report: LimitReport,
+    priority: u8,
+    wait_max: Duration,
+) -> PermitDecision {
+    for Coordinator { holder, address, role } in entry.coordinators(&report.server) {
+        let request = PermitRequest { host: entry.holder.clone(), role, priority, wait_max };
+        if holder == entry.holder {
+            return entry.decide_permit(report, &request).0;
+        }
+        let hosts_digest = entry.hosts_digest();
+        let call = PermitCall { request_id: 0, report: report.clone(), request, hosts_digest };
+        if let Some(reply) = entry.peers.request_permit(address, call, entry.clock).await {
+            entry.check_hosts(reply.hosts_digest);
+            entry.merge_limit(&reply.report);
+            return reply.decision;
+        }
     }
+    log::warn!("no host issues permits of server {}; it gets no requests for now", report.server);
+    PermitDecision::Denied(NO_COORDINATOR_RETRY_DELAY)
 }
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -35,6 +35,8 @@
     Held { left_ms: u64 },
     /// The retry budget allowed no further attempt.
     NoBudget,
+    /// The server's rate limit left no permit for the request.
+    RateLimited { server: Arc<str> },
     /// No server accepts requests.
     NoServer,
 }
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -68,6 +68,15 @@
     may_have_run()
 }
 
+/// Refuses a request because every server that could run it is at its rate limit for `wait`.
+pub(crate) fn rate_limited(attempts: &Attempts, wait: Duration) -> Refusal {
+    if attempts.has_not_run() {
+        return Refusal::not_run(Code::NoBackend, "the servers are at their rate limits")
+            .with_retry_after_ms(wait.as_millis() as u32 + 1);
+    }
+    may_have_run()
+}
+
 /// Refuses a request whose content stays quarantined for `remaining`, because it crashed servers.
 pub(crate) fn quarantined(attempts: &Attempts, remaining: Duration) -> Refusal {
     if attempts.has_not_run() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,9 +1,9 @@
 //! State that the tasks of an entry host share; all tasks run on one thread.
 
 use guavaspread_fleet::{
-    AdapterId, Availability, Catalog, CrashDetector, GrantCache, LeaseManager, Placement,
-    Quarantine, Server, ServerChange, ServerCrash, ServerList, ServerNotice, host_retry_budget,
-    host_retry_slack,
+    AdapterId, Availability, Catalog, CrashDetector, GrantCache, LeaseManager, PermitIssuer,
+    Placement, Quarantine, Server, ServerChange, ServerCrash, ServerList, ServerNotice,
+    host_retry_budget, host_retry_slack,
 };
 use guavaspread_model::ContentId;
 use guavaspread_placement::RetryBudget;
@@ -53,6 +53,10 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crash_gossip: CrashGossip,
     pub(crate) retry_budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
+    /// When the list of hosts was last read for another purpose than a lease.
+    pub(crate) hosts_read_at: Cell<Option<Duration>>,
+    /// Permits of the rate-limited servers that this host coordinates.
+    pub(crate) permit_issuer: RefCell<PermitIssuer>,
     /// Number of entry hosts with a valid lease at the last read of the leases.
     pub(crate) lease_holder_count: Cell<usize>,
     /// Becomes true when the process starts to shut down.
@@ -165,7 +169,7 @@
     }
 
     /// Applies a server's notice from the head of its response.
-    pub(crate) fn on_server_notice(&self, server: &Server, notice: ServerNotice) {
+    pub(crate) fn on_server_notice(self: &Rc<Self>, server: &Server, notice: ServerNotice) {
         if self.placement.borrow_mut().on_server_notice(server, notice, self.clock.now()) {
             log::info!("server {} sent a notice: {notice:?}", server.id);
         }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -17,6 +17,9 @@
 /// no load on a store that is unreachable, so the delay does not grow in this case.
 const STORE_RETRY_INTERVAL_MAX: Duration = Duration::from_millis(1_200);
 
+/// How old the list of hosts may be when hosts have to agree on a coordinator or inform each other.
+const HOSTS_TTL: Duration = Duration::from_secs(3);
+
 /// Watches one feed until the process ends.
 pub(crate) async fn watch_feed(entry: Rc<EntryState>, feed: Feed) {
     let mut after: Option<u64> = None;
@@ -174,6 +177,20 @@
     }
 }
 
+/// Reads the list of hosts if it is outdated; returns whether it was read.
+///
+/// The lease task reads the list only while an engine has no owner.
+pub(crate) async fn refresh_hosts(entry: &Rc<EntryState>) -> bool {
+    let now = entry.clock.now();
+    if entry.hosts_read_at.get().is_some_and(|at| now < at + HOSTS_TTL) {
+        return false;
+    }
+    entry.hosts_read_at.set(Some(now));
+    let after = entry.leases.borrow().revision();
+    read_leases(entry, after).await;
+    true
+}
+
 /// Reads the leases that changed after revision `after`, or all leases for `None`.
 pub(crate) async fn read_leases(entry: &Rc<EntryState>, after: Option<u64>) {
     let sent_at = entry.clock.now();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! | choose a server | [`Placement`], [`Pick`] |
 //! | respect drain and busy notices of servers | [`ServerNotices`], [`Availability`] |
 //! | track the rate limits that servers name | [`RateLimits`], [`RateLimit`] |
+//! | divide a server's rate limit among hosts | [`PermitIssuer`], [`permit_coordinators`] |
 //! | schedule the load and unload commands to an engine | [`AdapterScheduler`], [`SchedulerStep`] |
 //! | schedule the prefills of an engine | [`PrefillQueue`], [`PrefillAdmission`] |
 //! | acquire and renew leases on engines | [`LeaseManager`], [`LeaseAction`] |
@@ -36,6 +37,7 @@
 mod grant_cache;
 mod lease;
 mod notices;
+mod permits;
 mod placement;
 mod prefill_queue;
 mod prelude;
@@ -62,12 +64,16 @@
     Claim, HostLease, LeaseAction, LeaseManager, LeaseSummary, LeaseTable, LeaseTimes, LeaseWrite,
 };
 pub use notices::{Availability, ServerNotice, ServerNotices};
+pub use permits::{
+    CoordinatorRole, PermitDecision, PermitIssuer, PermitRequest, hosts_digest,
+    permit_coordinators, zone_count,
+};
 pub use placement::{LoadReport, Pick, Placement, PlacementKey};
 pub use prefill_queue::{PrefillAdmission, PrefillQueue, Prompt, PromptKey};
 pub use quarantine::{
     Admission, ContentReport, ContentSummary, PersistedContents, Quarantine, tracking_hosts,
 };
-pub use rate_limit::{LimitChange, NamedLimit, RateLimit, RateLimits};
+pub use rate_limit::{LimitChange, LimitReport, NamedLimit, RateLimit, RateLimits};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
 pub use retry_shares::{host_retry_budget, host_retry_slack};
 pub use server_list::{
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,7 +19,7 @@
 
 use crate::notices::{Availability, ServerNotice, ServerNotices};
 use crate::prelude::*;
-use crate::rate_limit::{LimitChange, NamedLimit, RateLimits};
+use crate::rate_limit::RateLimits;
 use crate::server_list::{AdapterId, Server};
 
 /// How long an unreachable server is used only as a last resort; doubles with each further failure.
@@ -191,32 +191,41 @@
         self.notices.on_response(server, notice, now)
     }
 
-    /// Records the rate limit in a server's response, if it names one.
-    pub fn on_rate_limit_named(
-        &mut self,
-        server: &Server,
-        named: NamedLimit,
-        now: Duration,
-    ) -> Option<LimitChange> {
-        match named {
-            NamedLimit::Limit(limit) => self.rate_limits.on_named(server, limit, now),
-            NamedLimit::Absent | NamedLimit::Invalid => None,
-        }
+    /// Returns the rate limits of the servers.
+    pub fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
     }
 
-    /// Records a response without a rate limit to a request that was sent at `sent_at`.
-    pub fn on_rate_limit_absent(
-        &mut self,
-        server: &Server,
-        sent_at: Duration,
+    /// Returns the rate limits of the servers for changes.
+    pub fn rate_limits_mut(&mut self) -> &mut RateLimits {
+        &mut self.rate_limits
+    }
+
+    /// Lists the servers of a service that have no permits for requests of this priority, each with
+    /// the time until which it has none.
+    pub fn without_permits(
+        &self,
+        service: &str,
+        priority: u8,
         now: Duration,
-    ) -> Option<LimitChange> {
-        self.rate_limits.on_absent(server, sent_at, now)
+    ) -> Vec<(Arc<str>, Duration)> {
+        if self.rate_limits.is_empty() {
+            return Vec::new();
+        }
+        let servers = self.candidates.values().map(|c| &c.server);
+        let servers = servers.filter(|server| {
+            &*server.service == service && self.availability(server, now) == Availability::Available
+        });
+        let denied_until = |server: &Arc<Server>| {
+            let until = self.rate_limits.denied_until(server, priority, now)?;
+            Some((server.id.clone(), until))
+        };
+        servers.filter_map(denied_until).collect()
     }
 
-    /// Returns the rate limits of the servers.
-    pub fn rate_limits(&self) -> &RateLimits {
-        &self.rate_limits
+    /// Returns whether a service has an available server besides those already tried.
+    pub fn has_untried_server(&self, service: &str, tried: &[Arc<str>], now: Duration) -> bool {
+        !self.available(service, tried, now).is_empty()
     }
 
     /// Returns whether a server accepts requests from this host.
--- a/crates/fleet/src/rate_limit.rs
+++ b/crates/fleet/src/rate_limit.rs
@@ -14,6 +14,9 @@
 
 /// The maximum number of servers whose limits are known.
 const LIMITS_MAX: usize = 4_096;
+/// How long a limit is remembered after the last response that named it. A server that gets no
+/// request names none, and may still be in need.
+const LIMIT_TTL: Duration = Duration::from_secs(600);
 /// The longest interval between two requests to a limited server, in seconds. A server with a
 /// limit of 0 would otherwise get no request, and its responses could never end the limit.
 const INTERVAL_MAX_S: f64 = 10.0;
@@ -89,7 +92,20 @@
     },
 }
 
-#[derive(Clone, Copy, Debug)]
+/// A host's report of a server's limit. The time is an age, because the hosts' clocks differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The server's id.
+    pub server: Arc<str>,
+    /// When the server's incarnation started, in Unix milliseconds.
+    pub started_at_ms: u64,
+    /// The limit; `None` after it has ended.
+    pub limit: Option<RateLimit>,
+    /// How long ago the response was received that named or ended the limit.
+    pub age: Duration,
+}
+
+#[derive(Clone, Debug)]
 struct KnownLimit {
     started_at_ms: u64,
     /// `None` after the limit has ended.
@@ -98,6 +114,8 @@
     /// When the response that named or ended the limit was received.
     observed_at: Duration,
     sent_count: u64,
+    /// Until when requests with these priorities, and less urgent ones, get no permit.
+    denied_until: BTreeMap<u8, Duration>,
 }
 
 /// The limits of servers that this host knows of.
@@ -114,28 +132,7 @@
         limit: RateLimit,
         now: Duration,
     ) -> Option<LimitChange> {
-        let fresh = KnownLimit {
-            started_at_ms: server.started_at_ms,
-            limit: None,
-            first_named_at: now,
-            observed_at: now,
-            sent_count: 0,
-        };
-        if !self.limits.contains_key(&server.id) {
-            self.evict();
-        }
-        let known = self.limits.entry(server.id.clone()).or_insert(fresh);
-        if known.started_at_ms > server.started_at_ms {
-            return None;
-        }
-        if known.started_at_ms < server.started_at_ms || known.limit.is_none() {
-            *known = fresh;
-        }
-        known.observed_at = now;
-        match known.limit.replace(limit) {
-            None => Some(LimitChange::Named(limit)),
-            Some(before) => (before != limit).then_some(LimitChange::Changed(limit)),
-        }
+        self.apply(&server.id, server.started_at_ms, Some(limit), now, now)
     }
 
     /// Records that a response of a server named no limit; its request was sent at `sent_at`.
@@ -145,20 +142,100 @@
         sent_at: Duration,
         now: Duration,
     ) -> Option<LimitChange> {
-        let known = self.limits.get_mut(&server.id)?;
+        let known = self.limits.get(&server.id)?;
         if known.started_at_ms != server.started_at_ms || sent_at < known.observed_at {
             return None;
         }
-        known.limit.take()?;
-        known.observed_at = now;
-        let after = now.saturating_sub(known.first_named_at);
-        Some(LimitChange::Ended { after, sent_count: known.sent_count })
+        self.apply(&server.id, server.started_at_ms, None, now, now)
+    }
+
+    /// Merges another host's report.
+    pub fn merge(&mut self, report: &LimitReport, now: Duration) -> Option<LimitChange> {
+        let observed_at = now.saturating_sub(report.age);
+        self.apply(&report.server, report.started_at_ms, report.limit, observed_at, now)
+    }
+
+    /// Applies an observation, unless a later one or one of a newer incarnation is known.
+    fn apply(
+        &mut self,
+        server: &Arc<str>,
+        started_at_ms: u64,
+        limit: Option<RateLimit>,
+        observed_at: Duration,
+        now: Duration,
+    ) -> Option<LimitChange> {
+        let is_newer = |known: &KnownLimit| {
+            (started_at_ms, observed_at) >= (known.started_at_ms, known.observed_at)
+        };
+        if self.limits.get(server).is_some_and(|known| !is_newer(known)) {
+            return None;
+        }
+        if !self.limits.contains_key(server) {
+            limit?;
+            self.evict(now);
+        }
+        let fresh = KnownLimit {
+            started_at_ms,
+            limit: None,
+            first_named_at: now,
+            observed_at,
+            sent_count: 0,
+            denied_until: BTreeMap::new(),
+        };
+        let known = self.limits.entry(server.clone()).or_insert_with(|| fresh.clone());
+        if known.started_at_ms < started_at_ms || (known.limit.is_none() && limit.is_some()) {
+            *known = fresh;
+        }
+        known.observed_at = observed_at;
+        if known.limit != limit {
+            known.denied_until.clear();
+        }
+        let before = std::mem::replace(&mut known.limit, limit);
+        match (before, limit) {
+            (None, None) => None,
+            (None, Some(limit)) => Some(LimitChange::Named(limit)),
+            (Some(before), Some(limit)) => (before != limit).then_some(LimitChange::Changed(limit)),
+            (Some(_), None) => {
+                let after = now.saturating_sub(known.first_named_at);
+                Some(LimitChange::Ended { after, sent_count: known.sent_count })
+            }
+        }
     }
 
     /// Returns the limit of a server, if it has one.
     pub fn get(&self, server: &Server) -> Option<RateLimit> {
+        self.known(server)?.limit
+    }
+
+    /// Returns the report of a server's limit, if the server has or had one.
+    pub fn report(&self, server: &str, now: Duration) -> Option<LimitReport> {
+        let (id, known) = self.limits.get_key_value(server)?;
+        Some(LimitReport {
+            server: id.clone(),
+            started_at_ms: known.started_at_ms,
+            limit: known.limit,
+            age: now.saturating_sub(known.observed_at),
+        })
+    }
+
+    /// Records that requests of this priority, and less urgent ones, get no permit until then.
+    pub fn on_denied(&mut self, server: &Server, priority: u8, until: Duration) {
+        if let Some(known) = self.limits.get_mut(&server.id) {
+            known.denied_until.insert(priority, until);
+        }
+    }
+
+    /// Returns until when a request of this priority gets no permit of a server; `None` if it may
+    /// ask for one.
+    pub fn denied_until(&self, server: &Server, priority: u8, now: Duration) -> Option<Duration> {
+        let known = self.known(server).filter(|known| known.limit.is_some())?;
+        let denied = known.denied_until.range(..=priority).map(|(_, until)| *until);
+        denied.max().filter(|until| *until > now)
+    }
+
+    fn known(&self, server: &Server) -> Option<&KnownLimit> {
         let known = self.limits.get(&server.id)?;
-        known.limit.filter(|_| known.started_at_ms == server.started_at_ms)
+        (known.started_at_ms == server.started_at_ms).then_some(known)
     }
 
     /// Counts a request that is sent to a server.
@@ -175,10 +252,11 @@
 
     /// Returns whether no server has a limit.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.limits.values().all(|known| known.limit.is_none())
     }
 
-    fn evict(&mut self) {
+    fn evict(&mut self, now: Duration) {
+        self.limits.retain(|_, known| now < known.observed_at + LIMIT_TTL);
         if self.limits.len() < LIMITS_MAX {
             return;
         }
