Ask for a permit before an adapter is loaded for a request

Cause: a request got its adapter first and its permit last. A limited engine loaded the adapters of all requests that rank it first, then denied most of them, which loaded the adapter elsewhere as well. The loads in vain evicted what the engine held and filled the weight store.

The permit now comes before the adapter. It is valid for a second, so that requests that waited for a load are not sent all at once. Only adapters that it holds are requested from a limited engine, unless there is no other engine, or nothing was heard of it for 10 s.

--- a/crates/entry/src/crash_probe.rs
+++ b/crates/entry/src/crash_probe.rs
@@ -9,7 +9,7 @@
 use crate::connection_pool::send_once;
 use crate::metrics::CrashLabels;
 use crate::prelude::*;
-use crate::rate_limits;
+use crate::rate_limits::{self, Permit};
 use crate::state::EntryState;
 
 /// How long a server may take to respond to a probe; a busy server responds only after the requests
@@ -113,7 +113,9 @@
 
 async fn send_probe(entry: &Rc<EntryState>, server: &Server) -> ProbeResult {
     // A server's rate limit includes health checks.
-    if !rate_limits::acquire_permit(entry, server, PROBE_PRIORITY, PROBE_PERMIT_WAIT).await {
+    let permit =
+        rate_limits::acquire_permit(entry, server, PROBE_PRIORITY, PROBE_PERMIT_WAIT).await;
+    if permit == Permit::Denied {
         return ProbeResult::TimedOut;
     }
     let path = {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -21,7 +21,7 @@
 use crate::intake::prepare;
 use crate::platform::RequestInfo;
 use crate::prelude::*;
-use crate::rate_limits;
+use crate::rate_limits::{self, Permit};
 use crate::record::{Record, Step};
 use crate::refusals::{
     deadline_exceeded, engines_full, no_server, not_loaded, quarantined, rate_limited,
@@ -179,12 +179,6 @@
                 Selection::Next => continue,
                 Selection::None(refusal) => return SendResult::GivenUp(refusal),
             };
-            if !self.acquire_permit(&server, progress).await {
-                record.add(Step::RateLimited { server: server.id.clone() });
-                progress.exclude(&server);
-                progress.was_refused = false;
-                continue;
-            }
             if progress.attempts.sent_count() > 0 && !self.entry.try_spend_retry(&self.service) {
                 record.add(Step::NoBudget);
                 return SendResult::GivenUp(retry_budget_spent(&progress.attempts));
@@ -270,6 +264,11 @@
                 ));
             }
         };
+        let permit = self.acquire_permit(&server, progress, record).await;
+        if permit == Permit::Denied {
+            return Selection::Next;
+        }
+        let picked = server.id.clone();
         let candidate = (key, server);
         let ((key, server), access) =
             self.acquire_adapter(candidate, progress.was_refused, &excluded, record).await;
@@ -296,13 +295,22 @@
             progress.exclude(&server);
             return Selection::Next;
         }
+        let has_permit = server.id == picked && permit.is_valid(self.entry.clock.now());
+        if !has_permit && self.acquire_permit(&server, progress, record).await == Permit::Denied {
+            return Selection::Next;
+        }
         Selection::Server((key, server), version, hold)
     }
 
-    /// Acquires a permit if the server has a rate limit; returns whether the request may be sent.
+    /// Acquires a permit if the server has a rate limit; excludes the server if it is denied.
     ///
     /// The request waits for its turn only if no other server is left to try.
-    async fn acquire_permit(&self, server: &Server, progress: &Progress) -> bool {
+    async fn acquire_permit(
+        &self,
+        server: &Server,
+        progress: &mut Progress,
+        record: &mut Record,
+    ) -> Permit {
         let now = self.entry.clock.now();
         let mut excluded = progress.tried.clone();
         excluded.push(server.id.clone());
@@ -314,7 +322,14 @@
             // The rest of the time is left for the response.
             false => self.response_due.saturating_sub(now) / 2,
         };
-        rate_limits::acquire_permit(&self.entry, server, self.route.priority, wait_max).await
+        let priority = self.route.priority;
+        let permit = rate_limits::acquire_permit(&self.entry, server, priority, wait_max).await;
+        if permit == Permit::Denied {
+            record.add(Step::RateLimited { server: server.id.clone() });
+            progress.exclude(server);
+            progress.was_refused = false;
+        }
+        permit
     }
 
     /// Lists the servers without permits for this request, and until when they have none.
--- a/crates/entry/src/rate_limits.rs
+++ b/crates/entry/src/rate_limits.rs
@@ -31,6 +31,35 @@
     Peer,
 }
 
+/// How long a permit is valid. Requests that wait for an adapter to load after they got their
+/// permits would otherwise be sent all at once.
+const PERMIT_TTL: Duration = Duration::from_millis(1_000);
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Permit {
+    /// The server has no rate limit.
+    NotNeeded,
+    /// The request may be sent, soon after this time.
+    Granted {
+        /// When the request's turn was.
+        at: Duration,
+    },
+    /// The request may not be sent.
+    Denied,
+}
+
+impl Permit {
+    /// Returns whether the permit holds for a request that is sent now.
+    pub(crate) fn is_valid(self, now: Duration) -> bool {
+        match self {
+            Permit::Granted { at } => now < at + PERMIT_TTL,
+            // The server may have named a limit since.
+            Permit::NotNeeded | Permit::Denied => false,
+        }
+    }
+}
+
 /// A host that may be asked for a permit.
 struct Coordinator {
     holder: Arc<str>,
@@ -238,23 +267,21 @@
     }
 }
 
-/// Acquires a permit to send a request to a server, which may have no limit.
-///
-/// Waits up to `wait_max` for the request's turn; returns whether the request may be sent.
+/// Acquires a permit to send a request to a server, waiting up to `wait_max` for its turn.
 pub(crate) async fn acquire_permit(
     entry: &Rc<EntryState>,
     server: &Server,
     priority: u8,
     wait_max: Duration,
-) -> bool {
+) -> Permit {
     let report = {
         let placement = entry.placement.borrow();
         if placement.rate_limits().get(server).is_none() {
-            return true;
+            return Permit::NotNeeded;
         }
         placement.rate_limits().report(&server.id, entry.clock.now())
     };
-    let Some(report) = report else { return true };
+    let Some(report) = report else { return Permit::NotNeeded };
     let decision = request_decision(entry, report, priority, wait_max).await;
     match decision {
         PermitDecision::Granted(delay) => {
@@ -262,14 +289,14 @@
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
             }
-            true
+            Permit::Granted { at: entry.clock.now() }
         }
         PermitDecision::Denied(delay) => {
             entry.metrics.permits_denied.inc();
             let until = entry.clock.now() + delay;
             let mut placement = entry.placement.borrow_mut();
             placement.rate_limits_mut().on_denied(server, priority, until);
-            false
+            Permit::Denied
         }
     }
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -288,6 +288,10 @@
     ) -> Pick {
         let mut available = self.ranked_keys(service, adapter, tried, now);
         let is_holder = |c: &Candidate| c.server.has_adapter(adapter) || is_known_holder(&c.server);
+        // A load on a rate-limited engine would serve few requests, and the others need the
+        // adapter elsewhere anyway.
+        let is_worth_loading = |c: &Candidate| !self.rate_limits.is_confirmed(&c.server, now);
+        self.retain_if_any(&mut available, |c| is_worth_loading(c) || is_holder(c));
         let holders: Vec<PlacementKey> = available
             .iter()
             .copied()
@@ -315,7 +319,8 @@
         self.cheapest(available, cost, service, now)
     }
 
-    /// Returns the engines that accept requests, in the adapter's rendezvous order.
+    /// Returns the engines that accept requests and have no rate limit, in the adapter's rendezvous
+    /// order.
     pub fn ranked_engines(
         &self,
         service: &str,
@@ -323,7 +328,12 @@
         tried: &[Arc<str>],
         now: Duration,
     ) -> Vec<(PlacementKey, Arc<Server>)> {
-        let keys = self.ranked_keys(service, adapter, tried, now).into_iter();
+        let mut keys = self.ranked_keys(service, adapter, tried, now);
+        keys.retain(|key| {
+            let candidate = self.candidates.get(*key);
+            candidate.is_some_and(|c| !self.rate_limits.is_confirmed(&c.server, now))
+        });
+        let keys = keys.into_iter();
         keys.filter_map(|key| Some((key, self.candidates.get(key)?.server.clone()))).collect()
     }
 
@@ -413,6 +423,18 @@
         if all_overloaded { replicas + spare.unwrap_or(0) } else { replicas }
     }
 
+    /// Retains the servers that meet the condition, unless there are none.
+    fn retain_if_any(&self, keys: &mut Vec<PlacementKey>, condition: impl Fn(&Candidate) -> bool) {
+        let retained: Vec<PlacementKey> = keys
+            .iter()
+            .copied()
+            .filter(|key| self.candidates.get(*key).is_some_and(&condition))
+            .collect();
+        if !retained.is_empty() {
+            *keys = retained;
+        }
+    }
+
     fn has_model(&self, key: PlacementKey, model: &str) -> bool {
         let models = self.candidates.get(key).map(|c| &c.server.models);
         models.is_some_and(|models| models.iter().any(|loaded| &*loaded.name == model))
--- a/crates/fleet/src/rate_limit.rs
+++ b/crates/fleet/src/rate_limit.rs
@@ -17,6 +17,8 @@
 /// How long a limit is remembered after the last response that named it. A server that gets no
 /// request names none, and may still be in need.
 const LIMIT_TTL: Duration = Duration::from_secs(600);
+/// How long a limit counts as confirmed after a response that named it.
+const CONFIRMATION_TTL: Duration = Duration::from_secs(10);
 /// The longest interval between two requests to a limited server, in seconds. A server with a
 /// limit of 0 would otherwise get no request, and its responses could never end the limit.
 const INTERVAL_MAX_S: f64 = 10.0;
@@ -207,6 +209,16 @@
         self.known(server)?.limit
     }
 
+    /// Returns whether a server has a limit that was confirmed lately.
+    ///
+    /// Such a server is not worth a load: few of the requests for what it loads may be sent to it.
+    /// One that was not heard of for a while gets a load, so that its response tells whether the
+    /// limit still applies.
+    pub fn is_confirmed(&self, server: &Server, now: Duration) -> bool {
+        let known = self.known(server).filter(|known| known.limit.is_some());
+        known.is_some_and(|known| now < known.observed_at + CONFIRMATION_TTL)
+    }
+
     /// Returns the report of a server's limit, if the server has or had one.
     pub fn report(&self, server: &str, now: Duration) -> Option<LimitReport> {
         let (id, known) = self.limits.get_key_value(server)?;
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use guavaspread_fleet::{
-    AdapterId, LoadReport, LoadedModel, Pick, Placement, PlacementKey, Server, ServerState,
+    AdapterId, LoadReport, LoadedModel, Pick, Placement, PlacementKey, RateLimit, Server,
+    ServerState,
 };
 
 const NOW: Duration = Duration::from_secs(10);
@@ -260,3 +261,42 @@
     assert_eq!(next.len(), 8);
     assert_eq!(next[0].1.id, second);
 }
+
+/// Picks an engine for each of 50 adapters and returns how many picks were `engine`.
+fn picks_of(placement: &Placement, engine: &str, holder: bool, now: Duration) -> usize {
+    let is_holder = |server: &Server| holder && &*server.id == engine;
+    let pick = |n: usize| {
+        let id = adapter(&format!("a-{n}"));
+        picked(placement.pick_for_adapter("drafter", &id, 100, &[], &is_holder, now)).1
+    };
+    (0..50).filter(|n| &*pick(*n) == engine).count()
+}
+
+#[test]
+fn a_rate_limited_engine_gets_no_loads_but_keeps_its_adapters() {
+    let mut placement = placement(3);
+    let limited = server("i-0", "north");
+    assert!(picks_of(&placement, "i-0", false, NOW) > 5);
+    placement.rate_limits_mut().on_named(&limited, RateLimit::per_second(3.0), NOW);
+    assert_eq!(picks_of(&placement, "i-0", false, NOW), 0);
+    assert_eq!(picks_of(&placement, "i-0", true, NOW), 50);
+    assert!(
+        placement
+            .ranked_engines("drafter", &adapter("a"), &[], NOW)
+            .iter()
+            .all(|(_, engine)| engine.id != limited.id)
+    );
+    // After a time without a response, a load tells whether the limit still applies.
+    assert!(picks_of(&placement, "i-0", false, NOW + Duration::from_secs(11)) > 5);
+}
+
+#[test]
+fn adapters_are_loaded_on_limited_engines_if_there_are_no_others() {
+    let mut placement = placement(2);
+    for id in ["i-0", "i-1"] {
+        let limit = RateLimit::per_second(3.0);
+        placement.rate_limits_mut().on_named(&server(id, "north"), limit, NOW);
+    }
+    let picks = picks_of(&placement, "i-0", false, NOW);
+    assert!(picks > 5 && picks < 45, "{picks}");
+}
