Give callers at a rate limit at least 200 ms before they return

A refusal whose servers had a permit in the next moment said Retry-After: 0.00, as the test of requests beyond the limits of all servers showed. All callers that were refused would have come back for one permit, and most in vain.

--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -15,6 +15,9 @@
 const LOAD_RETRY_MARGIN_MS: u32 = 200;
 /// Retry delay while engines are full: about the time in which half of a batch finishes.
 const FULL_RETRY_AFTER_MS: u32 = 300;
+/// Shortest retry delay while servers are at their rate limits. Callers that all come back for the
+/// next permit would mostly be refused again.
+const RATE_LIMITED_RETRY_AFTER_MIN_MS: u32 = 200;
 /// Shortest retry delay for quarantined content.
 const QUARANTINED_RETRY_AFTER_MIN_MS: u32 = 5_000;
 /// Retry delay while this host starts or stops; the retry then reaches a host that is ready.
@@ -72,7 +75,7 @@
 pub(crate) fn rate_limited(attempts: &Attempts, wait: Duration) -> Refusal {
     if attempts.has_not_run() {
         return Refusal::not_run(Code::NoBackend, "the servers are at their rate limits")
-            .with_retry_after_ms(wait.as_millis() as u32 + 1);
+            .with_retry_after_ms((wait.as_millis() as u32).max(RATE_LIMITED_RETRY_AFTER_MIN_MS));
     }
     may_have_run()
 }
