Agree on the coordinator of a limited server also without the store

Cause: on a site without engines a host reads the leases once, before it writes its own. Hosts that start together then know nobody else, and the limit's first naming, which reads the leases again, finds no store.

A host now reads the leases once more after it has written its first lease, so that of two hosts the later one knows the earlier.

--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -88,6 +88,9 @@
     pub report: LimitReport,
     /// To whom the receiver passes the report on.
     pub relay: LimitRelay,
+    /// The host that issues the server's permits, if it announces itself. The receiver may not
+    /// know it, and may be unable to read the leases.
+    pub coordinator: Option<HostLease>,
     /// Digest of the hosts that the sender knows.
     pub hosts_digest: u64,
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -113,6 +113,7 @@
         crash_detector: RefCell::default(),
         quarantine: RefCell::default(),
         hosts_read_at: Cell::default(),
+        announced_hosts: RefCell::default(),
         permit_issuer: RefCell::default(),
         crash_gossip: CrashGossip::default(),
         retry_budgets: RefCell::default(),
--- a/crates/entry/src/rate_limits.rs
+++ b/crates/entry/src/rate_limits.rs
@@ -60,13 +60,6 @@
     }
 }
 
-/// A host that may be asked for a permit.
-struct Coordinator {
-    holder: Arc<str>,
-    address: SocketAddr,
-    role: CoordinatorRole,
-}
-
 impl EntryState {
     /// Applies the rate limit in a server's response, if it names one.
     pub(crate) fn on_rate_limit(self: &Rc<Self>, server: &Server, named: NamedLimit) {
@@ -114,10 +107,13 @@
     /// Applies a peer's report of a limit, and relays it.
     pub(crate) fn on_limit_update(self: &Rc<Self>, update: LimitUpdate) {
         self.check_hosts(update.hosts_digest);
+        if let Some(host) = &update.coordinator {
+            self.announced_hosts.borrow_mut().insert(host.holder.clone(), host.clone());
+        }
         let has_changed = self.merge_limit(&update.report);
         match update.relay {
             LimitRelay::AllHosts if has_changed => self.announce_limit(&update.report.server),
-            LimitRelay::Zone => self.relay_to_zone(&update.report.server),
+            LimitRelay::Zone => self.relay_to_zone(&update.report.server, update.coordinator),
             LimitRelay::AllHosts | LimitRelay::None => {}
         }
     }
@@ -134,7 +130,7 @@
         let Some(limit) = report.limit else {
             return (PermitDecision::Granted(Duration::ZERO), report);
         };
-        let zones = zone_count(self.leases.borrow().live_hosts_at_last_read());
+        let zones = zone_count(self.known_hosts().iter());
         let mut issuer = self.permit_issuer.borrow_mut();
         let is_new_primary =
             request.role == CoordinatorRole::Primary && !issuer.is_primary_of(&report.server);
@@ -201,57 +197,66 @@
         }
     }
 
+    /// Lists the live hosts, by name.
+    fn known_hosts(&self) -> Vec<HostLease> {
+        let mut hosts = self.announced_hosts.borrow().clone();
+        let leases = self.leases.borrow();
+        hosts.extend(
+            leases.live_hosts_at_last_read().map(|host| (host.holder.clone(), host.clone())),
+        );
+        hosts.into_values().collect()
+    }
+
     fn hosts_digest(&self) -> u64 {
-        hosts_digest(self.leases.borrow().live_hosts_at_last_read())
+        hosts_digest(self.known_hosts().iter())
     }
 
-    fn coordinators(&self, server: &str) -> Vec<Coordinator> {
+    fn coordinators(&self, server: &str) -> Vec<(HostLease, CoordinatorRole)> {
         let zone = self.cfg.borrow().zone.clone();
-        let leases = self.leases.borrow();
-        let coordinators = permit_coordinators(server, &zone, leases.live_hosts_at_last_read());
-        let coordinators = coordinators.into_iter().map(|(host, role)| Coordinator {
-            holder: host.holder.clone(),
-            address: host.address,
-            role,
-        });
-        coordinators.collect()
+        let hosts = self.known_hosts();
+        let coordinators = permit_coordinators(server, &zone, hosts.iter()).into_iter();
+        coordinators.map(|(host, role)| (host.clone(), role)).collect()
     }
 
     /// Reports a server's limit to all hosts: to those of this zone directly, to those of each
     /// other zone through a few of them.
     fn announce_limit(self: &Rc<Self>, server: &Arc<str>) {
         let zone = self.cfg.borrow().zone.clone();
-        let mut hosts: Vec<HostLease> =
-            self.leases.borrow().live_hosts_at_last_read().cloned().collect();
+        let mut hosts = self.known_hosts();
         hosts.sort_by_key(|host| rendezvous_score(server, &host.holder));
+        let own = hosts.iter().find(|host| host.holder == self.holder).cloned();
         let mut relays: HashMap<Arc<str>, usize> = HashMap::new();
         for host in hosts.iter().filter(|host| host.holder != self.holder) {
             if host.zone == zone {
-                self.send_limit(host.address, server, LimitRelay::None);
+                self.send_limit(host.address, server, LimitRelay::None, own.clone());
                 continue;
             }
             let count = relays.entry(host.zone.clone()).or_default();
             *count += 1;
             if *count <= RELAYS_PER_ZONE {
-                self.send_limit(host.address, server, LimitRelay::Zone);
+                self.send_limit(host.address, server, LimitRelay::Zone, own.clone());
             }
         }
     }
 
-    fn relay_to_zone(self: &Rc<Self>, server: &Arc<str>) {
+    fn relay_to_zone(self: &Rc<Self>, server: &str, coordinator: Option<HostLease>) {
         let zone = self.cfg.borrow().zone.clone();
-        let hosts: Vec<HostLease> =
-            self.leases.borrow().live_hosts_at_last_read().cloned().collect();
-        let others = |host: &&HostLease| host.zone == zone && host.holder != self.holder;
-        for host in hosts.iter().filter(others) {
-            self.send_limit(host.address, server, LimitRelay::None);
+        let is_receiver = |host: &HostLease| host.zone == zone && host.holder != self.holder;
+        for host in self.known_hosts().into_iter().filter(is_receiver) {
+            self.send_limit(host.address, server, LimitRelay::None, coordinator.clone());
         }
     }
 
-    fn send_limit(self: &Rc<Self>, address: SocketAddr, server: &str, relay: LimitRelay) {
+    fn send_limit(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        server: &str,
+        relay: LimitRelay,
+        coordinator: Option<HostLease>,
+    ) {
         let report = self.placement.borrow().rate_limits().report(server, self.clock.now());
         let Some(report) = report else { return };
-        let update = LimitUpdate { report, relay, hosts_digest: self.hosts_digest() };
+        let update = LimitUpdate { report, relay, coordinator, hosts_digest: self.hosts_digest() };
         self.peers.send_limit_update(address, update);
     }
 }
@@ -259,11 +264,11 @@
 /// Reports a limit that this host learned or ended to the server's coordinator.
 async fn report_limit(entry: Rc<EntryState>, server: Arc<str>) {
     store_watch::refresh_hosts(&entry).await;
-    let Some(primary) = entry.coordinators(&server).into_iter().next() else { return };
+    let Some((primary, _)) = entry.coordinators(&server).into_iter().next() else { return };
     if primary.holder == entry.holder {
         entry.announce_limit(&server);
     } else {
-        entry.send_limit(primary.address, &server, LimitRelay::AllHosts);
+        entry.send_limit(primary.address, &server, LimitRelay::AllHosts, None);
     }
 }
 
@@ -307,7 +312,7 @@
     priority: u8,
     wait_max: Duration,
 ) -> PermitDecision {
-    for Coordinator { holder, address, role } in entry.coordinators(&report.server) {
+    for (HostLease { holder, address, .. }, role) in entry.coordinators(&report.server) {
         let request = PermitRequest { host: entry.holder.clone(), role, priority, wait_max };
         if holder == entry.holder {
             return entry.decide_permit(report, &request).0;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,9 +1,11 @@
 //! State that the tasks of an entry host share; all tasks run on one thread.
 
+use std::collections::BTreeMap;
+
 use guavaspread_fleet::{
-    AdapterId, Availability, Catalog, CrashDetector, GrantCache, LeaseManager, PermitIssuer,
-    Placement, Quarantine, Server, ServerChange, ServerCrash, ServerList, ServerNotice,
-    host_retry_budget, host_retry_slack,
+    AdapterId, Availability, Catalog, CrashDetector, GrantCache, HostLease, LeaseManager,
+    PermitIssuer, Placement, Quarantine, Server, ServerChange, ServerCrash, ServerList,
+    ServerNotice, host_retry_budget, host_retry_slack,
 };
 use guavaspread_model::ContentId;
 use guavaspread_placement::RetryBudget;
@@ -55,6 +57,8 @@
     pub(crate) retry_budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// When the list of hosts was last read for another purpose than a lease.
     pub(crate) hosts_read_at: Cell<Option<Duration>>,
+    /// Hosts that announced themselves as coordinators since the leases were last read.
+    pub(crate) announced_hosts: RefCell<BTreeMap<Arc<str>, HostLease>>,
     /// Permits of the rate-limited servers that this host coordinates.
     pub(crate) permit_issuer: RefCell<PermitIssuer>,
     /// Number of entry hosts with a valid lease at the last read of the leases.
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -145,6 +145,7 @@
 
 /// Renews this host's lease and claims engines until the process ends.
 pub(crate) async fn hold_leases(entry: Rc<EntryState>) {
+    let mut has_lease = false;
     loop {
         let changed = entry.leases_changed.notified();
         tokio::pin!(changed);
@@ -159,6 +160,12 @@
                 match result {
                     Ok(WriteOutcome::Done { revision, store_time_ms }) => {
                         leases.on_written(write, revision, store_time_ms, now, entry.clock.now());
+                        drop(leases);
+                        if !std::mem::replace(&mut has_lease, true) {
+                            // Of two hosts that start together, the one that writes last learns
+                            // of the other by this read.
+                            refresh_hosts(&entry).await;
+                        }
                     }
                     Ok(WriteOutcome::Conflict) => leases.on_conflict(),
                     Err(e) => {
@@ -200,6 +207,7 @@
         Ok(mut table) => {
             let content_reports = std::mem::take(&mut table.content_reports);
             entry.leases.borrow_mut().on_read(table, after.is_none(), sent_at, now);
+            entry.announced_hosts.borrow_mut().clear();
             let holder_count = entry.leases.borrow().live_hosts(now).count();
             entry.set_lease_holder_count(holder_count);
             entry.on_persisted_reports(&content_reports);
