Report a limit before the hosts are read again; check for a limit first

While the store does not respond, a limit that a host had learned or ended reached the coordinator only after the read had timed out. And each request looked for other servers although its own had no limit.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -311,6 +311,9 @@
         progress: &mut Progress,
         record: &mut Record,
     ) -> Permit {
+        if self.entry.placement.borrow().rate_limits().get(server).is_none() {
+            return Permit::NotNeeded;
+        }
         let now = self.entry.clock.now();
         let mut excluded = progress.tried.clone();
         excluded.push(server.id.clone());
--- a/crates/entry/src/rate_limits.rs
+++ b/crates/entry/src/rate_limits.rs
@@ -218,6 +218,15 @@
         coordinators.map(|(host, role)| (host.clone(), role)).collect()
     }
 
+    fn report_to_coordinator(self: &Rc<Self>, server: &Arc<str>) {
+        let Some((primary, _)) = self.coordinators(server).into_iter().next() else { return };
+        if primary.holder == self.holder {
+            self.announce_limit(server);
+        } else {
+            self.send_limit(primary.address, server, LimitRelay::AllHosts, None);
+        }
+    }
+
     /// Reports a server's limit to all hosts: to those of this zone directly, to those of each
     /// other zone through a few of them.
     fn announce_limit(self: &Rc<Self>, server: &Arc<str>) {
@@ -263,12 +272,10 @@
 
 /// Reports a limit that this host learned or ended to the server's coordinator.
 async fn report_limit(entry: Rc<EntryState>, server: Arc<str>) {
-    store_watch::refresh_hosts(&entry).await;
-    let Some((primary, _)) = entry.coordinators(&server).into_iter().next() else { return };
-    if primary.holder == entry.holder {
-        entry.announce_limit(&server);
-    } else {
-        entry.send_limit(primary.address, &server, LimitRelay::AllHosts, None);
+    entry.report_to_coordinator(&server);
+    // The store may not respond for a while; the known coordinator is informed first.
+    if store_watch::refresh_hosts(&entry).await {
+        entry.report_to_coordinator(&server);
     }
 }
 
