Read the hosts' leases after the first write without delaying a later read

crash_reports_spread_while_the_store_is_unavailable failed since the hosts' leases are read once more at the start: that read counted as the last one for 3 s, so that the first crash did not read the hosts that had started since. The read at the start no longer counts.

--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -163,8 +163,10 @@
                         drop(leases);
                         if !std::mem::replace(&mut has_lease, true) {
                             // Of two hosts that start together, the one that writes last learns
-                            // of the other by this read.
-                            refresh_hosts(&entry).await;
+                            // of the other by this read. A later read may still be needed soon,
+                            // so that `refresh_hosts` does not suit.
+                            let after = entry.leases.borrow().revision();
+                            read_leases(&entry, after).await;
                         }
                     }
                     Ok(WriteOutcome::Conflict) => leases.on_conflict(),
