Limit the intervals and announced hosts that peers may send

A peer's message with an interval near the largest duration would have ended the process by an overflow; the number of announced hosts had no bound.

--- a/crates/entry/src/rate_limits.rs
+++ b/crates/entry/src/rate_limits.rs
@@ -21,6 +21,8 @@
 
 /// Hosts per zone that relay a coordinator's report to their zone; one may be down.
 const RELAYS_PER_ZONE: usize = 2;
+/// Coordinators that announced themselves and are remembered until the leases are read again.
+const ANNOUNCED_HOSTS_MAX: usize = 4_096;
 /// How long a server gets no requests of this host when no coordinator responds.
 const NO_COORDINATOR_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -108,7 +110,10 @@
     pub(crate) fn on_limit_update(self: &Rc<Self>, update: LimitUpdate) {
         self.check_hosts(update.hosts_digest);
         if let Some(host) = &update.coordinator {
-            self.announced_hosts.borrow_mut().insert(host.holder.clone(), host.clone());
+            let mut announced_hosts = self.announced_hosts.borrow_mut();
+            if announced_hosts.len() < ANNOUNCED_HOSTS_MAX {
+                announced_hosts.insert(host.holder.clone(), host.clone());
+            }
         }
         let has_changed = self.merge_limit(&update.report);
         match update.relay {
--- a/crates/fleet/src/rate_limit.rs
+++ b/crates/fleet/src/rate_limit.rs
@@ -19,14 +19,15 @@
 const LIMIT_TTL: Duration = Duration::from_secs(600);
 /// How long a limit counts as confirmed after a response that named it.
 const CONFIRMATION_TTL: Duration = Duration::from_secs(10);
-/// The longest interval between two requests to a limited server, in seconds. A server with a
-/// limit of 0 would otherwise get no request, and its responses could never end the limit.
-const INTERVAL_MAX_S: f64 = 10.0;
+/// The longest interval between two requests to a limited server. A server with a limit of 0 would
+/// otherwise get no request, and its responses could never end the limit.
+const INTERVAL_MAX: Duration = Duration::from_secs(10);
 /// The rate, in requests per second, from which a limit has no effect: no server processes more.
 const RATE_MAX: f64 = 10_000.0;
 
 /// The rate of requests that a server accepts from all entry hosts together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Duration", into = "Duration")]
 pub struct RateLimit {
     interval: Duration,
 }
@@ -37,7 +38,7 @@
     /// The rate must not be negative or NaN. A rate of 0 is treated as one request in ten
     /// seconds.
     pub fn per_second(rate: f64) -> Self {
-        let interval_s = (1.0 / rate).clamp(1.0 / RATE_MAX, INTERVAL_MAX_S);
+        let interval_s = (1.0 / rate).clamp(1.0 / RATE_MAX, INTERVAL_MAX.as_secs_f64());
         RateLimit { interval: Duration::from_secs_f64(interval_s) }
     }
 
@@ -47,6 +48,20 @@
     }
 }
 
+impl From<Duration> for RateLimit {
+    /// Returns the limit with this interval, or with the nearest one that is allowed.
+    fn from(interval: Duration) -> Self {
+        let interval_min = Duration::from_secs_f64(1.0 / RATE_MAX);
+        RateLimit { interval: interval.clamp(interval_min, INTERVAL_MAX) }
+    }
+}
+
+impl From<RateLimit> for Duration {
+    fn from(limit: RateLimit) -> Self {
+        limit.interval
+    }
+}
+
 impl std::fmt::Display for RateLimit {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{:.2} requests/s", 1.0 / self.interval.as_secs_f64())
--- a/crates/fleet/tests/rate_limit.rs
+++ b/crates/fleet/tests/rate_limit.rs
@@ -121,6 +121,15 @@
     }
 }
 
+/// Peers send limits as intervals, which may be anything in an invalid message.
+#[test_case(Duration::ZERO)]
+#[test_case(Duration::MAX)]
+fn an_interval_of_a_peer_is_limited(interval: Duration) {
+    let limit = RateLimit::from(interval);
+    assert!(limit.interval() >= Duration::from_micros(100), "{limit}");
+    assert!(limit.interval() <= Duration::from_secs(10), "{limit}");
+}
+
 #[test_case(-1.0)]
 #[test_case(f64::NAN)]
 #[test_case(f64::NEG_INFINITY)]
