--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -1,6 +1,6 @@
 //! Watches the platform's store: configurations, adapter versions, servers and leases.
 
-use guavaspread_fleet::{Backoff, LeaseAction};
+use guavaspread_fleet::{Backoff, LeaseAction, LeaseWrite};
 
 use crate::platform::{Feed, FeedBatch, FeedRow, StoreError, WriteOutcome};
 use crate::prelude::*;
@@ -156,24 +156,14 @@
             LeaseAction::Read(after) => read_leases(&entry, after).await,
             LeaseAction::Write(write) => {
                 let result = lease_renewal::write_leases(&entry, &write).await;
-                let mut leases = entry.leases.borrow_mut();
-                match result {
-                    Ok(WriteOutcome::Done { revision, store_time_ms }) => {
-                        leases.on_written(write, revision, store_time_ms, now, entry.clock.now());
-                        drop(leases);
-                        if !std::mem::replace(&mut has_lease, true) {
-                            // Of two hosts that start together, the one that writes last learns
-                            // of the other by this read. A later read may still be needed soon,
-                            // so that `refresh_hosts` does not suit.
-                            let after = entry.leases.borrow().revision();
-                            read_leases(&entry, after).await;
-                        }
-                    }
-                    Ok(WriteOutcome::Conflict) => leases.on_conflict(),
-                    Err(e) => {
-                        log::warn!("writing leases failed, will retry: {e}");
-                        leases.on_write_failed(entry.clock.now());
-                    }
+                let is_written = matches!(result, Ok(WriteOutcome::Done { .. }));
+                on_lease_write(&entry, write, result, now);
+                if is_written && !std::mem::replace(&mut has_lease, true) {
+                    // Of two hosts that start together, the one that writes last learns of the
+                    // other by this read. It does not count for `refresh_hosts`, because further
+                    // hosts may start.
+                    let after = entry.leases.borrow().revision();
+                    read_leases(&entry, after).await;
                 }
             }
             LeaseAction::Wait(at) => {
@@ -186,6 +176,25 @@
     }
 }
 
+fn on_lease_write(
+    entry: &EntryState,
+    write: LeaseWrite,
+    result: Result<WriteOutcome, StoreError>,
+    sent_at: Duration,
+) {
+    let mut leases = entry.leases.borrow_mut();
+    match result {
+        Ok(WriteOutcome::Done { revision, store_time_ms }) => {
+            leases.on_written(write, revision, store_time_ms, sent_at, entry.clock.now());
+        }
+        Ok(WriteOutcome::Conflict) => leases.on_conflict(),
+        Err(e) => {
+            log::warn!("writing leases failed, will retry: {e}");
+            leases.on_write_failed(entry.clock.now());
+        }
+    }
+}
+
 /// Reads the list of hosts if it is outdated; returns whether it was read.
 ///
 /// The lease task reads the list only while an engine has no owner.
