--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a caller's request to a backend server and the response back to the caller.
 
 mod attempt;
+mod permit;
 
 use std::convert::Infallible;
 use std::net::IpAddr;
@@ -21,11 +22,11 @@
 use crate::intake::prepare;
 use crate::platform::RequestInfo;
 use crate::prelude::*;
-use crate::rate_limits::{self, Permit};
+use crate::rate_limits::Permit;
 use crate::record::{Record, Step};
 use crate::refusals::{
-    deadline_exceeded, engines_full, no_server, not_loaded, quarantined, rate_limited,
-    retry_budget_spent, unknown_adapter,
+    deadline_exceeded, engines_full, no_server, not_loaded, quarantined, retry_budget_spent,
+    unknown_adapter,
 };
 use crate::respond::problem_response;
 use crate::resume::Resumer;
@@ -302,62 +303,6 @@
         Selection::Server((key, server), version, hold)
     }
 
-    /// Acquires a permit if the server has a rate limit; excludes the server if it is denied.
-    ///
-    /// The request waits for its turn only if no other server is left to try.
-    async fn acquire_permit(
-        &self,
-        server: &Server,
-        progress: &mut Progress,
-        record: &mut Record,
-    ) -> Permit {
-        if self.entry.placement.borrow().rate_limits().get(server).is_none() {
-            return Permit::NotNeeded;
-        }
-        let now = self.entry.clock.now();
-        let mut excluded = progress.tried.clone();
-        excluded.push(server.id.clone());
-        excluded.extend(self.without_permits(now).into_iter().map(|(server, _)| server));
-        let has_other =
-            self.entry.placement.borrow().has_untried_server(&self.service, &excluded, now);
-        let wait_max = match has_other {
-            true => Duration::ZERO,
-            // The rest of the time is left for the response.
-            false => self.response_due.saturating_sub(now) / 2,
-        };
-        let priority = self.route.priority;
-        let permit = rate_limits::acquire_permit(&self.entry, server, priority, wait_max).await;
-        if permit == Permit::Denied {
-            record.add(Step::RateLimited { server: server.id.clone() });
-            progress.exclude(server);
-            progress.was_refused = false;
-        }
-        permit
-    }
-
-    /// Lists the servers without permits for this request, and until when they have none.
-    fn without_permits(&self, now: Duration) -> Vec<(Arc<str>, Duration)> {
-        self.entry.placement.borrow().without_permits(&self.service, self.route.priority, now)
-    }
-
-    /// Refuses the request; the times are when a busy server accepts requests again, and when a
-    /// server with a rate limit may have a permit.
-    fn no_server(
-        &self,
-        attempts: &Attempts,
-        available_at: Option<Duration>,
-        permit_at: Option<Duration>,
-    ) -> Refusal {
-        let now = self.entry.clock.now();
-        match permit_at {
-            Some(at) if available_at.is_none_or(|available_at| at <= available_at) => {
-                self.entry.metrics.rate_limited_refusals.inc();
-                rate_limited(attempts, at.saturating_sub(now))
-            }
-            Some(_) | None => no_server(attempts, available_at.map(|at| at.saturating_sub(now))),
-        }
-    }
-
     fn record_demand(&self, now: Duration) {
         if let Some(id) = self.adapter() {
             self.entry.placement.borrow_mut().record_demand(&id, now);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod owned_engines;
 mod peer_message;
+mod peer_server;
 mod peers;
 mod platform;
 mod prelude;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,28 +1,24 @@
-//! Requests to other entry hosts, and the server for their requests.
+//! Requests to other entry hosts.
 
 use std::net::SocketAddr;
 
 use futures::{SinkExt, StreamExt};
 use guavaspread_fleet::HostLease;
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::connection_pool::{connect, set_socket_options};
-use crate::feed_relay;
-use crate::owned_engines::AdapterGuard;
+use crate::connection_pool::connect;
 use crate::peer_message::{
     AdapterReply, AdapterRequest, AdapterStatus, CrashUpdate, CrashUpdateReply, LimitUpdate,
     PeerRequest, PeerResponse, PermitCall, PermitReply, Renewal, RenewalRequest,
 };
 use crate::prelude::*;
-use crate::state::EntryState;
 
 /// Largest frame; a configuration with many routes must fit.
 const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Messages queued for one peer; a full queue means that the peer is stalled.
-const QUEUE_CAPACITY: usize = 256;
+pub(crate) const QUEUE_CAPACITY: usize = 256;
 /// How long a peer may take for the first reply; while it waits for a load, it sends keep-alives.
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a peer that waits for a load may stay silent: about two and a half of its keep-alive
@@ -370,128 +366,6 @@
     }
 }
 
-/// Serves the requests of peers until the process ends.
-pub(crate) async fn serve(entry: Rc<EntryState>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(entry.clone(), stream));
-            }
-            Err(e) => {
-                log::warn!("accepting a peer's connection failed, will retry: {e}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection(entry: Rc<EntryState>, stream: TcpStream) {
-    if let Err(e) = set_socket_options(&stream) {
-        log::debug!("setting socket options on a peer's connection failed: {e}");
-    }
-    let (mut sink, mut frames) = Framed::new(stream, codec()).split();
-    let (tx, mut rx) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
-    let writer = tokio::task::spawn_local(async move {
-        while let Some(frame) = rx.recv().await {
-            if sink.send(frame).await.is_err() {
-                return;
-            }
-        }
-    });
-    let peer = PeerConnection { entry, tx, adapter_guards: Rc::default() };
-    while let Some(Ok(received)) = frames.next().await {
-        match postcard::from_bytes::<PeerRequest>(&received) {
-            Ok(message) => peer.on_message(message),
-            Err(e) => {
-                log::warn!("a peer sent an invalid message; closing its connection: {e}");
-                break;
-            }
-        }
-    }
-    peer.adapter_guards.borrow_mut().clear();
-    drop(peer);
-    // The writer task ends when its connection fails or its last sender is dropped.
-    let _ = writer.await;
-}
-
-/// The serving side of one peer's connection.
-#[derive(Clone)]
-struct PeerConnection {
-    entry: Rc<EntryState>,
-    tx: mpsc::Sender<Bytes>,
-    /// Guards of the adapters that the peer's requests use; dropped with the connection.
-    adapter_guards: Rc<RefCell<HashMap<u32, AdapterGuard>>>,
-}
-
-impl PeerConnection {
-    fn on_message(&self, message: PeerRequest) {
-        match message {
-            PeerRequest::UseAdapter(request) => {
-                tokio::task::spawn_local(self.clone().reply_adapter(request));
-            }
-            PeerRequest::FirstToken(request_id) => {
-                if let Some(guard) = self.adapter_guards.borrow().get(&request_id) {
-                    guard.on_first_token(self.entry.clock.now());
-                }
-            }
-            PeerRequest::ReleaseAdapter(request_id) => {
-                self.adapter_guards.borrow_mut().remove(&request_id);
-            }
-            PeerRequest::RenewLease(request) => {
-                tokio::task::spawn_local(self.clone().reply_renewal(request));
-            }
-            PeerRequest::Crashes(update) => {
-                let reply = PeerResponse::Crashes(self.entry.on_crash_update(update));
-                if self.tx.try_send(frame(&reply)).is_err() {
-                    log::debug!(
-                        "a crash update was not acknowledged: the peer's queue is full or closed"
-                    );
-                }
-            }
-            PeerRequest::Permit(call) => {
-                let reply = PeerResponse::Permit(self.entry.on_permit_call(call));
-                if self.tx.try_send(frame(&reply)).is_err() {
-                    log::debug!("a permit was not sent: the peer's queue is full or closed");
-                }
-            }
-            PeerRequest::RateLimit(update) => self.entry.on_limit_update(update),
-            PeerRequest::WatchFeeds => {
-                tokio::task::spawn_local(feed_relay::relay_feeds(
-                    self.entry.clone(),
-                    self.tx.clone(),
-                ));
-            }
-        }
-    }
-
-    async fn reply_adapter(self, request: AdapterRequest) {
-        let request_id = request.request_id;
-        let on_wait = || {
-            let keep_alive = AdapterReply { request_id, status: AdapterStatus::Loading };
-            if self.tx.try_send(frame(&PeerResponse::Adapter(keep_alive))).is_err() {
-                log::debug!("a keep-alive was not sent: the peer's queue is full or closed");
-            }
-        };
-        let (status, granted) =
-            self.entry.owned_engines.acquire_adapter(&self.entry, &request, on_wait).await;
-        if let Some(guard) = granted {
-            self.adapter_guards.borrow_mut().insert(request_id, guard);
-        }
-        let reply = PeerResponse::Adapter(AdapterReply { request_id, status });
-        if self.tx.send(frame(&reply)).await.is_err() {
-            self.adapter_guards.borrow_mut().remove(&request_id);
-        }
-    }
-
-    async fn reply_renewal(self, RenewalRequest { request_id, lease }: RenewalRequest) {
-        let renewal = self.entry.renewals.renew(&self.entry, lease).await;
-        let response = PeerResponse::LeaseRenewed { request_id, renewal };
-        if self.tx.send(frame(&response)).await.is_err() {
-            log::debug!("a renewal was not confirmed: the peer's connection closed");
-        }
-    }
-}
-
 /// Encodes a message.
 pub(crate) fn frame(message: &impl Serialize) -> Bytes {
     match postcard::to_stdvec(message) {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -20,7 +20,7 @@
 use crate::prelude::*;
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
-use crate::{http_server, lease_renewal, peers, store_watch};
+use crate::{http_server, lease_renewal, peer_server, store_watch};
 
 /// How long a lease lasts. It is longer than most outages of the store; with a shorter one, loads
 /// of adapters would stop during an outage.
@@ -63,7 +63,7 @@
     spawn_local(http_server::serve_text_page(metrics_listener, move || {
         (StatusCode::OK, state.metrics_text())
     }));
-    spawn_local(peers::serve(entry.clone(), peer_listener));
+    spawn_local(peer_server::serve(entry.clone(), peer_listener));
     spawn_local(store_watch::watch_feed(entry.clone(), Feed::Control));
     spawn_local(store_watch::watch_feed(entry.clone(), Feed::Servers));
     spawn_local(store_watch::hold_leases(entry.clone()));
