Request log: how a stream's server ended its body

A request's steps now hold the framing of each body that ended, its whole events and whether one was incomplete, and the line the caller's version of HTTP; the counter body_ends has the same as labels. The position comes from a scanner that reads lines ended by LF, CR or both, byte by byte, and replaces the comparison of the last four bytes; EventFramer uses it too. What is broken off is decided as before, but for line breaks of CR alone and of both kinds, which were taken for the inside of an event.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll};
 
 use guavaspread_fleet::{
-    AttemptOutcome, ConnectionLoss, EventBoundary, PlacementKey, PromptParts, Server,
+    AttemptOutcome, ConnectionLoss, EventScanner, PlacementKey, PromptParts, Server, StreamPosition,
 };
 use guavaspread_model::ContentId;
 use http::header;
@@ -13,7 +13,7 @@
 use tokio::time::Sleep;
 
 use crate::access::AdapterHold;
-use crate::connection_pool::{ResponseBody, ServerResponse, is_timeout};
+use crate::connection_pool::{Framing, ResponseBody, ServerResponse, is_timeout};
 use crate::prelude::*;
 use crate::record::Record;
 use crate::resume::{ResumeFuture, Resumed, Resumer};
@@ -37,14 +37,25 @@
     in_flight: Option<InFlight>,
     /// Resumes the stream on another server; `None` if the response can't be resumed.
     resumer: Option<Box<Resumer>>,
-    is_event_stream: bool,
-    /// Tells a complete event stream that ends with its connection from one that broke off; `None`
-    /// if the response has a length or chunks.
-    event_boundary: Option<EventBoundary>,
+    media: Media,
+    /// Follows the stream of the current server, unless the resumer does.
+    scanner: EventScanner,
     /// When the last bytes arrived.
     last_bytes_at: Duration,
 }
 
+/// What the body of a response consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Media {
+    /// Server-sent events; the response declares no other type.
+    Events,
+    /// Of another declared type, on a route of event streams. Its first bytes tell whether it
+    /// consists of events.
+    Unclear,
+    /// The response of a route without streams, or an error.
+    Other,
+}
+
 /// The source of the next bytes.
 enum Source {
     /// The body of a server's response.
@@ -98,7 +109,7 @@
 impl ForwardedBody {
     /// Forwards `body` for at most `remaining`; `resumer` resumes the stream if its server is lost.
     pub(crate) fn new(
-        (body, is_event_stream): (ResponseBody, bool),
+        (body, media): (ResponseBody, Media),
         remaining: Duration,
         status: u16,
         mut record: Record,
@@ -110,7 +121,6 @@
             in_flight.on_completed();
         }
         let deadline = Box::pin(tokio::time::sleep(remaining));
-        let event_boundary = event_boundary(&body, is_event_stream);
         let source = Source::Server(body);
         let last_bytes_at = in_flight.now();
         ForwardedBody {
@@ -120,8 +130,8 @@
             record: Some(record),
             in_flight: Some(in_flight),
             resumer,
-            is_event_stream,
-            event_boundary,
+            media,
+            scanner: EventScanner::default(),
             last_bytes_at,
         }
     }
@@ -171,8 +181,8 @@
         if let Some(in_flight) = &self.in_flight {
             self.last_bytes_at = in_flight.now();
         }
-        if let (Some(boundary), Some(data)) = (&mut self.event_boundary, frame.data_ref()) {
-            boundary.push(data);
+        if let (Media::Events | Media::Unclear, Some(data)) = (self.media, frame.data_ref()) {
+            self.scanner.push(data);
         }
         let Some(resumer) = &mut self.resumer else { return PollStep::Return(Some(Ok(frame))) };
         let frame = match frame.into_data() {
@@ -189,7 +199,9 @@
 
     /// Handles the end of the server's body, which breaks off a stream inside an event.
     fn on_end(&mut self) -> PollStep {
-        if self.event_boundary.as_ref().is_some_and(|boundary| !boundary.is_between_events()) {
+        self.record_body_end();
+        let framing = self.framing();
+        if framing == Some(Framing::Close) && self.position() == Some(StreamPosition::InsideEvent) {
             let detail = "the connection ended inside an event".to_owned();
             return self.on_connection_lost(detail, ConnectionLoss::Closed);
         }
@@ -201,6 +213,7 @@
 
     /// Handles an incomplete body: records the failure, and resumes the stream if that is allowed.
     fn on_connection_lost(&mut self, detail: String, loss: ConnectionLoss) -> PollStep {
+        self.record_body_end();
         if let Some(record) = &mut self.record {
             record.add_failure(AttemptOutcome::Unknown, detail);
         }
@@ -225,13 +238,38 @@
     fn on_resumed(&mut self, resumed: Resumed) -> PollStep {
         self.record = Some(resumed.record);
         let Some((body, in_flight, resumer)) = resumed.continuation else { return self.abort() };
-        self.event_boundary = event_boundary(&body, self.is_event_stream);
+        self.scanner = EventScanner::default();
         self.source = Source::Server(body);
         self.in_flight = Some(in_flight);
         self.resumer = Some(resumer);
         PollStep::Repeat
     }
 
+    /// Returns where the stream of the current server stands; `None` if the body is no stream.
+    fn position(&self) -> Option<StreamPosition> {
+        match self.media {
+            Media::Events => Some(self.scanner.position()),
+            Media::Unclear if self.scanner.looks_like_events() => Some(self.scanner.position()),
+            Media::Unclear | Media::Other => None,
+        }
+    }
+
+    /// Returns what ends the current server's body; `None` if no server is sending one.
+    fn framing(&self) -> Option<Framing> {
+        match &self.source {
+            Source::Server(body) => Some(body.framing()),
+            Source::Resuming(_) | Source::Ended => None,
+        }
+    }
+
+    /// Records how the body of a server ended.
+    fn record_body_end(&mut self) {
+        let (Some(framing), Some(position)) = (self.framing(), self.position()) else { return };
+        if let Some(record) = &mut self.record {
+            record.on_stream_ended(framing, position);
+        }
+    }
+
     /// Ends the body with an error.
     fn abort(&mut self) -> PollStep {
         self.source = Source::Ended;
@@ -276,11 +314,6 @@
     }
 }
 
-/// Returns the tracker of a body that ends with its connection, if it is an event stream.
-fn event_boundary(body: &ResponseBody, is_event_stream: bool) -> Option<EventBoundary> {
-    (is_event_stream && body.is_close_delimited()).then(EventBoundary::default)
-}
-
 /// What to do after the source was polled once.
 enum PollStep {
     /// Return this to the caller of `poll_frame`.
--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -229,7 +230,7 @@
         let res = connection.send(req).await?;
         let (head, body) = res.into_parts();
         let is_reusable = can_reuse(&head);
-        let is_close_delimited = is_close_delimited(&head);
+        let framing = Framing::of(&head);
         let pool_slot = is_reusable.then(|| PoolSlot {
             pool: self.clone(),
             key: (address, server_id.clone()),
@@ -238,12 +239,7 @@
         });
         Ok(ServerResponse {
             head,
-            body: ResponseBody {
-                body,
-                is_close_delimited,
-                connection: Some(connection),
-                pool_slot,
-            },
+            body: ResponseBody { body, framing, connection: Some(connection), pool_slot },
         })
     }
 
@@ -320,21 +316,38 @@
         value.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close"))
     };
     head.version == http::Version::HTTP_11
-        && !is_close_delimited(head)
+        && Framing::of(head) != Framing::Close
         && !head.headers.get_all(header::CONNECTION).iter().any(closes)
 }
 
-/// Returns whether only the end of the connection ends the response.
-fn is_close_delimited(head: &http::response::Parts) -> bool {
-    if matches!(head.status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED) {
-        return false;
-    }
-    let encoding = head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
-    match encoding {
-        Some(encoding) => !encoding
-            .to_str()
-            .is_ok_and(|text| text.trim_end().to_ascii_lowercase().ends_with("chunked")),
-        None => !head.headers.contains_key(header::CONTENT_LENGTH),
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Framing {
+    /// The length that the head states.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Close,
+}
+
+impl Framing {
+    fn of(head: &http::response::Parts) -> Self {
+        if matches!(head.status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED) {
+            return Framing::Length;
+        }
+        let encoding = head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+        let ends_with_chunks = |encoding: &http::HeaderValue| {
+            let text = encoding.to_str().map(|text| text.trim_end().to_ascii_lowercase());
+            text.is_ok_and(|text| text.ends_with("chunked"))
+        };
+        match encoding {
+            Some(encoding) if ends_with_chunks(encoding) => Framing::Chunks,
+            Some(_) => Framing::Close,
+            None if head.headers.contains_key(header::CONTENT_LENGTH) => Framing::Length,
+            None => Framing::Close,
+        }
     }
 }
 
@@ -363,15 +376,15 @@
 /// The body of a response; dropping it before its end closes the connection.
 pub struct ResponseBody {
     body: Incoming,
-    is_close_delimited: bool,
+    framing: Framing,
     connection: Option<Connection>,
     pool_slot: Option<PoolSlot>,
 }
 
 impl ResponseBody {
-    /// Returns whether the body ends with its connection, without a length or chunks.
-    pub(crate) fn is_close_delimited(&self) -> bool {
-        self.is_close_delimited
+    /// Returns what ends the body.
+    pub(crate) fn framing(&self) -> Framing {
+        self.framing
     }
 
     fn return_to_pool(&mut self) {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, AccessParams, AdapterHold};
-use crate::body::{CallerBody, ForwardedBody, InFlight};
+use crate::body::{CallerBody, ForwardedBody, InFlight, Media};
 use crate::connection_pool::ServerResponse;
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
@@ -52,7 +52,7 @@
     caller: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<CallerBody>, Infallible> {
-    let mut record = Record::new(&entry);
+    let mut record = Record::new(&entry, req.version());
     let (head, body) = req.into_parts();
     match prepare(&entry, caller, head, body, &mut record).await {
         Ok(call) => Ok(call.handle(record).await),
@@ -413,11 +413,14 @@
             && self.route.is_repeatable()
             && status.is_success()
             && !headers.contains_key(header::CONTENT_LENGTH);
-        let is_event_stream = self.route.class == RequestClass::Stream
-            && status.is_success()
-            && headers.get(header::CONTENT_TYPE).is_none_or(is_event_stream_type);
+        let is_stream = self.route.class == RequestClass::Stream && status.is_success();
+        let media = match headers.get(header::CONTENT_TYPE) {
+            _ if !is_stream => Media::Other,
+            Some(declared) if !is_event_stream_type(declared) => Media::Unclear,
+            Some(_) | None => Media::Events,
+        };
         let resumer = can_resume.then(|| Box::new(Resumer::new(self, progress)));
-        let body = (body, is_event_stream);
+        let body = (body, media);
         let forwarded =
             ForwardedBody::new(body, remaining, status.as_u16(), record, in_flight, resumer);
         let mut res = Response::new(CallerBody::Forwarded(Box::new(forwarded)));
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the process, in the Prometheus text format.
 
+use guavaspread_fleet::StreamPosition;
+use http::Version;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -8,6 +10,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::connection_pool::Framing;
+
 /// Labels of the counter of ended requests.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
@@ -24,10 +28,35 @@
     pub(crate) evidence: &'static str,
 }
 
+/// Labels of the counter of streams' bodies that servers ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct BodyEndLabels {
+    /// What ends the body: its length, its last chunk or the connection.
+    framing: String,
+    /// Where the stream stood.
+    position: &'static str,
+    /// The caller's version of HTTP.
+    http: String,
+}
+
+impl BodyEndLabels {
+    /// Returns the labels of a body with this framing that ended at this position.
+    pub(crate) fn new(framing: Framing, position: StreamPosition, http: Version) -> Self {
+        let position = match position {
+            StreamPosition::Start => "start",
+            StreamPosition::BetweenEvents(_) => "between-events",
+            StreamPosition::InsideEvent => "inside-event",
+        };
+        let framing = format!("{framing:?}").to_ascii_lowercase();
+        BodyEndLabels { framing, position, http: format!("{http:?}") }
+    }
+}
+
 /// The metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) ended: Family<RequestLabels, Counter>,
+    pub(crate) body_ends: Family<BodyEndLabels, Counter>,
     pub(crate) head_seconds: Histogram,
     pub(crate) load_wait_seconds: Histogram,
     pub(crate) under_way: Gauge,
@@ -65,6 +94,7 @@
         let mut metrics = Metrics {
             registry: Registry::with_prefix("guavaspread_entry"),
             ended: Family::default(),
+            body_ends: Family::default(),
             head_seconds: seconds_histogram(),
             load_wait_seconds: seconds_histogram(),
             under_way: Gauge::default(),
@@ -90,6 +120,11 @@
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
+        registry.register(
+            "body_ends",
+            "Streams' bodies that servers ended, whole or not",
+            metrics.body_ends.clone(),
+        );
         registry.register(
             "head_seconds",
             "Time from a request's arrival to forwarding the response head",
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -3,12 +3,14 @@
 //! Every failed request is logged. Of the successful ones, one in [`SUCCESS_SAMPLE`] is logged,
 //! so that the volume stays bounded under load.
 
-use guavaspread_fleet::AttemptOutcome;
+use guavaspread_fleet::{AttemptOutcome, StreamPosition};
 use guavaspread_model::ContentId;
 use guavaspread_telemetry::JSON_TARGET;
+use http::Version;
 use serde::Serialize;
 
-use crate::metrics::RequestLabels;
+use crate::connection_pool::Framing;
+use crate::metrics::{BodyEndLabels, RequestLabels};
 use crate::prelude::*;
 use crate::state::EntryState;
 
@@ -31,6 +33,8 @@
     Failed { outcome: &'static str, detail: String },
     /// The server was lost; the stream resumes on another server after this event.
     Resumes { behind: Option<Arc<str>> },
+    /// The body of a stream's server ended, after this many events.
+    BodyEnded { framing: Framing, events: u64, inside_event: bool },
     /// The request's content is quarantined for this long, because it crashed servers.
     Held { left_ms: u64 },
     /// A part of the request's prompt is quarantined for this long.
@@ -53,6 +57,8 @@
     adapter: Option<&'a str>,
     content: Option<String>,
     config: u64,
+    /// The caller's version of HTTP; before 1.1, only the end of the connection ends a stream.
+    http: String,
     status: u16,
     code: Option<u16>,
     end: &'static str,
@@ -77,6 +83,7 @@
     /// The problem code, if this host generated the response.
     pub(crate) code: Option<u16>,
     config: u64,
+    http: Version,
     steps: Vec<Step>,
     omitted_steps: usize,
     /// The status sent, how the request ended, and whether this host generated the response.
@@ -87,7 +94,7 @@
 
 impl Record {
     /// Starts the record of a request that has just arrived.
-    pub(crate) fn new(entry: &Rc<EntryState>) -> Self {
+    pub(crate) fn new(entry: &Rc<EntryState>, http: Version) -> Self {
         entry.metrics.under_way.inc();
         Record {
             started: entry.clock.now(),
@@ -100,6 +107,7 @@
             content: None,
             code: None,
             config: entry.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version),
+            http,
             steps: Vec::new(),
             omitted_steps: 0,
             end: None,
@@ -130,6 +138,18 @@
         self.add(Step::Failed { outcome, detail });
     }
 
+    /// Adds the end of the body of a stream's server, and counts it.
+    pub(crate) fn on_stream_ended(&mut self, framing: Framing, position: StreamPosition) {
+        let inside_event = position == StreamPosition::InsideEvent;
+        let events = match position {
+            StreamPosition::BetweenEvents(events) => events.get(),
+            StreamPosition::Start | StreamPosition::InsideEvent => 0,
+        };
+        self.add(Step::BodyEnded { framing, events, inside_event });
+        let labels = BodyEndLabels::new(framing, position, self.http);
+        self.entry.metrics.body_ends.get_or_create(&labels).inc();
+    }
+
     /// Sets how the request ended; `is_own` marks a response that this host generated.
     pub(crate) fn set_end(&mut self, status: u16, end: &'static str, is_own: bool) {
         self.end = Some((status, end, is_own));
@@ -156,6 +176,7 @@
             adapter: self.adapter.as_deref(),
             content: self.content.map(|content| content.to_string()),
             config: self.config,
+            http: format!("{:?}", self.http),
             status,
             code: self.code,
             end,
--- a/crates/fleet/src/event_framer.rs
+++ b/crates/fleet/src/event_framer.rs
@@ -5,42 +5,44 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::event_scanner::{EventScanner, StreamPosition};
+
 /// Limit of the buffered part of an event. A stream with a larger event is forwarded unbuffered and
 /// can't be resumed; otherwise an endless event would grow the buffer without limit.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 const ID_FIELD: &[u8] = b"id:";
-/// Length of the longest end of an event, two line breaks of two bytes each.
-const EVENT_END_BYTES_MAX: usize = 4;
 
 /// Forwards complete events and remembers the id of the last one.
 #[derive(Debug, Default)]
 pub struct EventFramer {
+    scanner: EventScanner,
     buffered: BytesMut,
     last_id: Option<String>,
-    events: u64,
+    has_events: bool,
     is_passthrough: bool,
 }
 
 impl EventFramer {
     /// Adds received bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
+        let end = self.scanner.push(bytes);
         if self.is_passthrough {
             return bytes.clone();
         }
-        if self.buffered.is_empty() && ends_with_event(bytes) {
+        if self.buffered.is_empty() && end == Some(bytes.len()) {
             self.record_events(bytes);
             return bytes.clone();
         }
-        let scanned = self.buffered.len();
+        let buffered = self.buffered.len();
         self.buffered.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffered, scanned) else {
+        let Some(end) = end else {
             if self.buffered.len() <= BUFFERED_BYTES_MAX {
                 return Bytes::new();
             }
             self.is_passthrough = true;
             return self.buffered.split().freeze();
         };
-        let complete = self.buffered.split_to(end).freeze();
+        let complete = self.buffered.split_to(buffered + end).freeze();
         self.record_events(&complete);
         complete
     }
@@ -53,11 +55,17 @@
     /// Discards a partial event, which another server sends again.
     pub fn discard_partial(&mut self) {
         self.buffered.clear();
+        self.scanner = EventScanner::default();
+    }
+
+    /// Returns where the stream of the current server stands.
+    pub fn position(&self) -> StreamPosition {
+        self.scanner.position()
     }
 
     /// Returns whether another server can continue the stream after the forwarded events.
     pub fn can_resume(&self) -> bool {
-        !self.is_passthrough && (self.events == 0 || self.last_id.is_some())
+        !self.is_passthrough && (!self.has_events || self.last_id.is_some())
     }
 
     /// Returns the id of the last forwarded event.
@@ -66,42 +74,11 @@
     }
 
     fn record_events(&mut self, events: &[u8]) {
-        for line in events.split(|byte| *byte == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            self.events += u64::from(line.is_empty());
+        self.has_events |= self.scanner.has_events();
+        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             if let Some(id) = line.strip_prefix(ID_FIELD) {
                 self.last_id = std::str::from_utf8(id).ok().map(|id| id.trim().to_owned());
             }
         }
     }
 }
-
-/// Tracks whether a stream has ended between two events or inside one.
-#[derive(Debug, Default)]
-pub struct EventBoundary {
-    /// The last bytes received, as many as the longest end of an event has.
-    tail: Vec<u8>,
-}
-
-impl EventBoundary {
-    /// Records received bytes.
-    pub fn push(&mut self, bytes: &[u8]) {
-        let new = &bytes[bytes.len().saturating_sub(EVENT_END_BYTES_MAX)..];
-        self.tail.extend_from_slice(new);
-        self.tail.drain(..self.tail.len().saturating_sub(EVENT_END_BYTES_MAX));
-    }
-
-    /// Returns whether no event is incomplete.
-    pub fn is_between_events(&self) -> bool {
-        self.tail.is_empty() || ends_with_event(&self.tail)
-    }
-}
-
-fn ends_with_event(bytes: &[u8]) -> bool {
-    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
-}
-
-/// Returns the end of the last complete event; the first `scanned` bytes contain no event end.
-fn last_event_end(bytes: &[u8], scanned: usize) -> Option<usize> {
-    (scanned + 1..=bytes.len()).rev().find(|end| ends_with_event(&bytes[..*end]))
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 //! | quarantine prompt parts that crash servers | [`PromptParts`], [`PartsAdmission`] |
 //! | divide the retry budget of a service among hosts | [`host_retry_budget`] |
 //! | forward only complete events of a stream | [`EventFramer`] |
+//! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
 //! | decide whether a failed attempt may be retried | [`Attempts`], [`RetryDecision`] |
 //!
 //! All times are durations since a fixed reference moment, which is the same for all calls to a
@@ -36,6 +37,7 @@
 mod crash_detector;
 mod engine_command;
 mod event_framer;
+mod event_scanner;
 mod grant_cache;
 mod lease;
 mod notices;
@@ -64,7 +66,8 @@
     ConnectionLoss, CrashDetector, CrashEvidence, LossAction, ProbeResult, ServerCrash,
 };
 pub use engine_command::{CommandKind, CommandResult, EngineCommand, Readiness, SchedulerStep};
-pub use event_framer::{EventBoundary, EventFramer};
+pub use event_framer::EventFramer;
+pub use event_scanner::{EventScanner, StreamPosition};
 pub use grant_cache::{Grant, GrantCache};
 pub use lease::{
     Claim, EraCondition, EraStart, HostLease, LeaseAction, LeaseManager, LeaseSummary, LeaseTable,
--- a/crates/fleet/tests/event_framer.rs
+++ b/crates/fleet/tests/event_framer.rs
@@ -3,7 +3,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
 use bytes::Bytes;
-use guavaspread_fleet::{EventBoundary, EventFramer};
+use guavaspread_fleet::StreamPosition::{self, BetweenEvents, InsideEvent, Start};
+use guavaspread_fleet::{EventFramer, EventScanner};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -17,7 +18,7 @@
 fn no_event_is_lost_duplicated_or_split_wherever_the_stream_breaks() {
     for seed in 0..10_000 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let end = if rng.random_bool(0.2) { "\r\n" } else { "\n" };
+        let end = ["\n", "\n", "\n", "\r\n", "\r"][rng.random_range(0..5)];
         let expected: String = (1..=8).map(|n| event(n, end)).collect();
         let mut framer = EventFramer::default();
         let mut forwarded = String::new();
@@ -67,16 +68,32 @@
     assert_eq!(framer.push(&chunk), chunk);
 }
 
-#[test_case(&[] => true; "nothing")]
-#[test_case(&["data: a\n\n"] => true; "one event")]
-#[test_case(&["data: a\r\n\r\n"] => true; "line breaks of two bytes")]
-#[test_case(&["data: a", "\n", "\n"] => true; "an end in pieces")]
-#[test_case(&["data: a\r", "\n\r", "", "\n"] => true; "an end of four bytes in pieces")]
-#[test_case(&["data: a\n\n", "data: b\n"] => false; "a line of the second event")]
-#[test_case(&["data: a\n\n", "d"] => false; "a byte of the second event")]
-#[test_case(&["\n"] => false; "one line break")]
-fn a_stream_has_ended_between_events(pieces: &[&str]) -> bool {
-    let mut boundary = EventBoundary::default();
-    pieces.iter().for_each(|piece| boundary.push(piece.as_bytes()));
-    boundary.is_between_events()
+#[test_case(&[] => Start; "nothing")]
+#[test_case(&[": a comment\n\n"] => Start; "a comment")]
+#[test_case(&["data: a\n\n"] => between(1); "one event")]
+#[test_case(&["data: a\n\n: a comment\n"] => between(1); "an event and a comment")]
+#[test_case(&["data: a\r\n\r\n"] => between(1); "line breaks of two bytes")]
+#[test_case(&["data: a\r\rdata: b\r\r"] => between(2); "line breaks of CR alone")]
+#[test_case(&["data: a\n\r\n"] => between(1); "line breaks of both kinds")]
+#[test_case(&["data: a", "\n", "\n"] => between(1); "an end in pieces")]
+#[test_case(&["data: a\r", "\n\r", "", "\n"] => between(1); "an end of four bytes in pieces")]
+#[test_case(&["data: a\n\n", "data: b\n"] => InsideEvent; "a line of the second event")]
+#[test_case(&["data: a\n\n", "d"] => InsideEvent; "a byte of the second event")]
+#[test_case(&["data: a\n\n", ": a comm"] => InsideEvent; "a part of a comment")]
+#[test_case(&["data: a\r\n\r"] => InsideEvent; "half of a line break")]
+fn a_stream_has_a_position(pieces: &[&str]) -> StreamPosition {
+    let mut scanner = EventScanner::default();
+    for piece in pieces {
+        scanner.push(piece.as_bytes());
+    }
+    let mut by_bytes = EventScanner::default();
+    for byte in pieces.concat().bytes() {
+        by_bytes.push(&[byte]);
+    }
+    assert_eq!(by_bytes.position(), scanner.position());
+    scanner.position()
+}
+
+fn between(events: u64) -> StreamPosition {
+    BetweenEvents(events.try_into().unwrap())
 }
