Break off a stream whose connection ends before its first event

"Between two events" was true before the first one, so an end that nothing speaks for was taken for a whole answer.

Now such an end breaks the stream off, or resumes it where the route allows. A comment is no event. A server that ends a stream of no events in order says so by a length of 0 or a last chunk, and is believed as before.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -197,20 +197,36 @@
         }
     }
 
-    /// Handles the end of the server's body, which breaks off a stream inside an event.
+    /// Handles the end of the server's body, which may have broken off a stream.
     fn on_end(&mut self) -> PollStep {
-        self.record_body_end();
-        let framing = self.framing();
-        if framing == Some(Framing::Close) && self.position() == Some(StreamPosition::InsideEvent) {
-            let detail = "the connection ended inside an event".to_owned();
-            return self.on_connection_lost(detail, ConnectionLoss::Closed);
+        if let Some(detail) = self.broken_off() {
+            return self.on_connection_lost(detail.to_owned(), ConnectionLoss::Closed);
         }
+        self.record_body_end();
         self.end_complete();
         self.source = Source::Ended;
         let rest = self.resumer.as_mut().map(|resumer| resumer.events.finish());
         PollStep::Return(rest.filter(|rest| !rest.is_empty()).map(|rest| Ok(Frame::data(rest))))
     }
 
+    /// Returns what is missing in a stream whose body has ended in order.
+    fn broken_off(&self) -> Option<&'static str> {
+        match (self.framing()?, self.position()?) {
+            (Framing::Close, StreamPosition::InsideEvent) => {
+                Some("the stream ended inside an event")
+            }
+            // A server that crashed closes the connection as well.
+            (Framing::Close, StreamPosition::Start) => {
+                Some("the connection ended before the first event")
+            }
+            (_, StreamPosition::BetweenEvents(_))
+            | (
+                Framing::Length | Framing::Chunks,
+                StreamPosition::Start | StreamPosition::InsideEvent,
+            ) => None,
+        }
+    }
+
     /// Handles an incomplete body: records the failure, and resumes the stream if that is allowed.
     fn on_connection_lost(&mut self, detail: String, loss: ConnectionLoss) -> PollStep {
         self.record_body_end();
