Break off a stream that ends inside an event, whatever its framing

Now the position in the stream decides for every framing; with a length, the last bytes are held back, as the caller would otherwise have all that was announced. A response on a stream's route that is not declared as events counts as a stream if it starts like one; a plain body with a length or chunks stays as it is (ruled out by platform/tests/requests and resume, which answer so; without this rule their servers were taken for crashed).

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -47,10 +47,9 @@
 /// What the body of a response consists of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Media {
-    /// Server-sent events; the response declares no other type.
+    /// Server-sent events.
     Events,
-    /// Of another declared type, on a route of event streams. Its first bytes tell whether it
-    /// consists of events.
+    /// Not declared as events, on a route of event streams; its first bytes tell whether it is.
     Unclear,
     /// The response of a route without streams, or an error.
     Other,
@@ -174,16 +173,20 @@
     }
 
     fn on_frame(&mut self, frame: Frame<Bytes>) -> PollStep {
-        let is_end = matches!(&self.source, Source::Server(body) if body.is_end_stream());
-        if is_end {
-            self.end_complete();
-        }
         if let Some(in_flight) = &self.in_flight {
             self.last_bytes_at = in_flight.now();
         }
         if let (Media::Events | Media::Unclear, Some(data)) = (self.media, frame.data_ref()) {
             self.scanner.push(data);
         }
+        if matches!(&self.source, Source::Server(body) if body.is_end_stream()) {
+            // With its last bytes, the caller would have the length announced.
+            if let Some(detail) = self.broken_off() {
+                return self.on_connection_lost(detail.to_owned(), ConnectionLoss::Closed);
+            }
+            self.record_body_end();
+            self.end_complete();
+        }
         let Some(resumer) = &mut self.resumer else { return PollStep::Return(Some(Ok(frame))) };
         let frame = match frame.into_data() {
             Ok(data) => data,
@@ -209,21 +212,16 @@
         PollStep::Return(rest.filter(|rest| !rest.is_empty()).map(|rest| Ok(Frame::data(rest))))
     }
 
-    /// Returns what is missing in a stream whose body has ended in order.
+    /// Returns what is missing in a stream whose body has ended as its framing announced.
     fn broken_off(&self) -> Option<&'static str> {
-        match (self.framing()?, self.position()?) {
-            (Framing::Close, StreamPosition::InsideEvent) => {
-                Some("the stream ended inside an event")
-            }
+        match (self.position()?, self.framing()?) {
+            (StreamPosition::InsideEvent, _) => Some("the stream ended inside an event"),
             // A server that crashed closes the connection as well.
-            (Framing::Close, StreamPosition::Start) => {
+            (StreamPosition::Start, Framing::Close) => {
                 Some("the connection ended before the first event")
             }
-            (_, StreamPosition::BetweenEvents(_))
-            | (
-                Framing::Length | Framing::Chunks,
-                StreamPosition::Start | StreamPosition::InsideEvent,
-            ) => None,
+            (StreamPosition::Start, Framing::Length | Framing::Chunks)
+            | (StreamPosition::BetweenEvents(_), _) => None,
         }
     }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -17,7 +17,7 @@
 
 use crate::access::{self, Access, AccessParams, AdapterHold};
 use crate::body::{CallerBody, ForwardedBody, InFlight, Media};
-use crate::connection_pool::ServerResponse;
+use crate::connection_pool::{Framing, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
 use crate::platform::RequestInfo;
@@ -416,8 +416,9 @@
         let is_stream = self.route.class == RequestClass::Stream && status.is_success();
         let media = match headers.get(header::CONTENT_TYPE) {
             _ if !is_stream => Media::Other,
-            Some(declared) if !is_event_stream_type(declared) => Media::Unclear,
-            Some(_) | None => Media::Events,
+            Some(declared) if is_event_stream_type(declared) => Media::Events,
+            None if body.framing() == Framing::Close => Media::Events,
+            Some(_) | None => Media::Unclear,
         };
         let resumer = can_resume.then(|| Box::new(Resumer::new(self, progress)));
         let body = (body, media);
