Reset a caller's connection when a response without framing breaks off

Now the connection's linger time is 0 from the first byte of such a response until its last, and it isn't shut down before then, so that it is reset however it ends: by the server, by the deadline, by a stop or a kill of the host. Callers of HTTP/1.1 get chunks as before; the wrapper costs them one comparison a write.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -13,6 +13,7 @@
 use tokio::time::Sleep;
 
 use crate::access::AdapterHold;
+use crate::caller_io::ResetOnEnd;
 use crate::connection_pool::{Framing, ResponseBody, ServerResponse, is_timeout};
 use crate::prelude::*;
 use crate::record::Record;
@@ -42,6 +43,9 @@
     scanner: EventScanner,
     /// When the last bytes arrived.
     last_bytes_at: Duration,
+    /// Resets the caller's connection if it ends before this body does; `None` if the caller can
+    /// tell otherwise whether it has all of it.
+    reset_on_end: Option<ResetOnEnd>,
 }
 
 /// What the body of a response consists of.
@@ -105,6 +109,20 @@
     }
 }
 
+impl CallerBody {
+    /// Sets the flag until the body is complete.
+    pub(crate) fn reset_unless_complete(&mut self, reset_on_end: ResetOnEnd) {
+        match self {
+            CallerBody::Own(_) => {}
+            CallerBody::Forwarded(body) if body.is_end_stream() => {}
+            CallerBody::Forwarded(body) => {
+                reset_on_end.set(true);
+                body.reset_on_end = Some(reset_on_end);
+            }
+        }
+    }
+}
+
 impl ForwardedBody {
     /// Forwards `body` for at most `remaining`; `resumer` resumes the stream if its server is lost.
     pub(crate) fn new(
@@ -132,6 +150,7 @@
             media,
             scanner: EventScanner::default(),
             last_bytes_at,
+            reset_on_end: None,
         }
     }
 
@@ -300,6 +319,9 @@
 
     fn end_complete(&mut self) {
         self.end("whole");
+        if let Some(reset_on_end) = &self.reset_on_end {
+            reset_on_end.set(false);
+        }
         if let Some(in_flight) = &self.in_flight {
             in_flight.on_completed();
         }
--- /dev/null
+++ b/crates/entry/src/caller_io.rs
@@ -0,0 +1,92 @@
+//! A caller's connection that is reset if a response breaks off that nothing but the end of the
+//! connection would end.
+//!
+//! To a caller of HTTP 1.0, a body without a length ends with the connection. A connection that
+//! is closed in order would make any part of it look complete.
+
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::prelude::*;
+
+/// Whether the connection must be reset when it ends now; shared by a connection and the body that
+/// is sent on it.
+pub(crate) type ResetOnEnd = Rc<Cell<bool>>;
+
+/// The connection of a caller.
+///
+/// The kernel resets it as well if the process ends meanwhile.
+pub(crate) struct CallerIo {
+    stream: TcpStream,
+    reset_on_end: ResetOnEnd,
+    is_reset_set: bool,
+}
+
+impl CallerIo {
+    pub(crate) fn new(stream: TcpStream, reset_on_end: ResetOnEnd) -> Self {
+        CallerIo { stream, reset_on_end, is_reset_set: false }
+    }
+
+    /// Passes the flag on to the kernel: with a linger time of 0, it resets what it closes.
+    fn sync_reset(&mut self) -> Result<()> {
+        let reset_on_end = self.reset_on_end.get();
+        if reset_on_end != self.is_reset_set {
+            let linger = reset_on_end.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.is_reset_set = reset_on_end;
+        }
+        Ok(())
+    }
+}
+
+impl AsyncRead for CallerIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.sync_reset()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        self.sync_reset()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.sync_reset()?;
+        if self.is_reset_set {
+            // A shutdown would end the connection in order; closing it resets it.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -1,8 +1,9 @@
 //! HTTP listeners for callers, for the load balancer's readiness check and for metrics.
 
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -10,6 +11,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::caller_io::{CallerIo, ResetOnEnd};
 use crate::connection_pool::set_socket_options;
 use crate::forward;
 use crate::prelude::*;
@@ -57,14 +59,28 @@
     let limits = entry.catalog.borrow().as_ref().map(|c| c.limits).unwrap_or_default();
     let mut stopping = entry.stopping.subscribe();
     let is_stopping = *stopping.borrow_and_update();
-    let handler = service_fn(move |req| forward::handle(entry.clone(), caller, req));
+    let reset_on_end = ResetOnEnd::default();
+    let io = CallerIo::new(stream, reset_on_end.clone());
+    let handler = service_fn(move |req: Request<Incoming>| {
+        let (entry, reset_on_end) = (entry.clone(), reset_on_end.clone());
+        async move {
+            let can_read_chunks = req.version() >= Version::HTTP_11;
+            let is_head = req.method() == Method::HEAD;
+            let mut res = forward::handle(entry, caller, req).await?;
+            let has_length = is_head || res.headers().contains_key(header::CONTENT_LENGTH);
+            if !can_read_chunks && !has_length {
+                res.body_mut().reset_unless_complete(reset_on_end);
+            }
+            Ok::<_, Infallible>(res)
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts the idle time between two requests towards the head of the second one.
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes_max.max(READ_BUFFER_BYTES_MIN))
         .keep_alive(!is_stopping)
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(io), handler);
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
@@ -94,7 +110,7 @@
                 let (status, text) = page();
                 let mut res = Response::new(Full::new(Bytes::from(text)));
                 *res.status_mut() = status;
-                std::future::ready(Ok::<_, std::convert::Infallible>(res))
+                std::future::ready(Ok::<_, Infallible>(res))
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
             if let Err(e) = served.await {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod access;
 mod admission;
 mod body;
+mod caller_io;
 mod clock;
 mod connection_pool;
 mod crash_gossip;
