--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -7,6 +7,10 @@
 
 use crate::prelude::*;
 
+/// Timeouts of its route for which a stream may last: the last try to take it up may begin when the
+/// first one times out.
+const STREAM_TRIES: u32 = 2;
+
 /// Classifies requests by whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestClass {
@@ -55,6 +59,11 @@
 }
 
 impl Route {
+    /// Returns whether another server, or another host, may continue a stream.
+    pub fn has_resumable_streams(&self) -> bool {
+        self.class == RequestClass::Stream && self.resumable
+    }
+
     /// Returns whether a request may be retried after a server may have processed it.
     pub fn is_repeatable(&self) -> bool {
         match self.class {
@@ -194,6 +203,17 @@
         self.services.get(name)
     }
 
+    /// Returns how old a stream of the service can be when its caller takes it up; `None` if the
+    /// service has no resumable streams.
+    pub fn stream_age_max(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter(|route| {
+            let mut targets = route.targets.iter();
+            route.has_resumable_streams() && targets.any(|target| &*target.service == service)
+        });
+        routes.map(|route| route.timeout * STREAM_TRIES).max()
+    }
+
     /// Returns the services in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 //! | divide the retry budget of a service among hosts | [`host_retry_budget`] |
 //! | forward only complete events of a stream | [`EventFramer`] |
 //! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
+//! | know which software version began a stream | [`VersionHistory`] |
 //! | decide whether a failed attempt may be retried | [`Attempts`], [`RetryDecision`] |
 //!
 //! All times are durations since a fixed reference moment, which is the same for all calls to a
@@ -54,6 +55,7 @@
 mod revision;
 mod server_list;
 mod store_era;
+mod version_history;
 mod watch;
 
 pub use adapter_scheduler::AdapterScheduler;
@@ -79,7 +81,7 @@
     permit_coordinators, zone_count,
 };
 pub use persisted_contents::PersistedContents;
-pub use placement::{LoadReport, Pick, Placement, PlacementKey};
+pub use placement::{LoadReport, Pick, Placement, PlacementKey, ServerFilter};
 pub use prefill_queue::{PrefillAdmission, PrefillQueue, Prompt, PromptKey};
 pub use prompt_parts::{ClearedParts, PartsAdmission, PromptParts};
 pub use quarantine::{Admission, ContentReport, ContentSummary, Quarantine, tracking_hosts};
@@ -91,4 +93,5 @@
     AdapterId, LoadedAdapter, LoadedModel, Server, ServerChange, ServerList, ServerState,
 };
 pub use store_era::{EraCheck, StatedEra, StoreEra};
+pub use version_history::{VersionCounts, VersionHistory, VersionStart};
 pub use watch::{RelayedServers, WatcherFreshness, watchers_to_follow, zone_watchers};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -75,6 +75,29 @@
     pub slots: u32,
 }
 
+/// The servers among which one is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerFilter<'a> {
+    /// The service that the servers provide.
+    pub service: &'a str,
+    /// The version of the software that they run; any if `None`.
+    pub software: Option<&'a str>,
+}
+
+impl<'a> From<&'a str> for ServerFilter<'a> {
+    /// Returns the filter for all servers of a service.
+    fn from(service: &'a str) -> Self {
+        ServerFilter { service, software: None }
+    }
+}
+
+impl ServerFilter<'_> {
+    fn accepts(&self, server: &Server) -> bool {
+        &*server.service == self.service
+            && self.software.is_none_or(|software| server.runs(software))
+    }
+}
+
 /// The result of choosing a server for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Pick {
@@ -224,8 +247,13 @@
     }
 
     /// Returns whether a service has an available server besides those already tried.
-    pub fn has_untried_server(&self, service: &str, tried: &[Arc<str>], now: Duration) -> bool {
-        !self.available(service, tried, now).is_empty()
+    pub fn has_untried_server<'a>(
+        &self,
+        servers: impl Into<ServerFilter<'a>>,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> bool {
+        !self.available(servers.into(), tried, now).is_empty()
     }
 
     /// Returns whether a server accepts requests from this host.
@@ -250,43 +278,51 @@
     }
 
     /// Chooses a server of a service without models, excluding the servers already tried.
-    pub fn pick_server(&self, service: &str, tried: &[Arc<str>], now: Duration) -> Pick {
+    pub fn pick_server<'a>(
+        &self,
+        servers: impl Into<ServerFilter<'a>>,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> Pick {
+        let servers = servers.into();
         let cost = |c: &Candidate| {
             let zone_cost = if c.server.zone == self.zone { 0.0 } else { CROSS_ZONE_COST };
             c.cost(now) + zone_cost
         };
-        self.cheapest(self.available(service, tried, now), cost, service, now)
+        self.cheapest(self.available(servers, tried, now), cost, servers, now)
     }
 
     /// Chooses an engine for a request to a base model.
-    pub fn pick_for_model(
+    pub fn pick_for_model<'a>(
         &self,
-        service: &str,
+        servers: impl Into<ServerFilter<'a>>,
         model: &str,
         tried: &[Arc<str>],
         now: Duration,
     ) -> Pick {
-        let available = self.available(service, tried, now);
+        let servers = servers.into();
+        let available = self.available(servers, tried, now);
         let holders =
             available.iter().copied().filter(|key| self.has_model(*key, model)).collect::<Vec<_>>();
         let available = if holders.is_empty() { available } else { holders };
-        self.cheapest(available, |c| c.cost(now), service, now)
+        self.cheapest(available, |c| c.cost(now), servers, now)
     }
 
     /// Chooses an engine for a request to an adapter with a prompt of `tokens`.
     ///
     /// `is_known_holder` returns whether an engine holds the adapter although its row does not show
     /// it yet.
-    pub fn pick_for_adapter(
+    pub fn pick_for_adapter<'a>(
         &self,
-        service: &str,
+        servers: impl Into<ServerFilter<'a>>,
         adapter: &AdapterId,
         tokens: u32,
         tried: &[Arc<str>],
         is_known_holder: &dyn Fn(&Server) -> bool,
         now: Duration,
     ) -> Pick {
-        let mut available = self.ranked_keys(service, adapter, tried, now);
+        let servers = servers.into();
+        let mut available = self.ranked_keys(servers, adapter, tried, now);
         let is_holder = |c: &Candidate| c.server.has_adapter(adapter) || is_known_holder(&c.server);
         // A load on a rate-limited engine would serve few requests, and the others need the
         // adapter elsewhere anyway.
@@ -316,19 +352,19 @@
         let cost = |c: &Candidate| {
             c.cost(now) + if holder_ids.contains(&c.server.id) { 0.0 } else { FETCH_COST }
         };
-        self.cheapest(available, cost, service, now)
+        self.cheapest(available, cost, servers, now)
     }
 
     /// Returns the engines that accept requests and have no rate limit, in the adapter's rendezvous
     /// order.
-    pub fn ranked_engines(
+    pub fn ranked_engines<'a>(
         &self,
-        service: &str,
+        servers: impl Into<ServerFilter<'a>>,
         adapter: &AdapterId,
         tried: &[Arc<str>],
         now: Duration,
     ) -> Vec<(PlacementKey, Arc<Server>)> {
-        let mut keys = self.ranked_keys(service, adapter, tried, now);
+        let mut keys = self.ranked_keys(servers.into(), adapter, tried, now);
         keys.retain(|key| {
             let candidate = self.candidates.get(*key);
             candidate.is_some_and(|c| !self.rate_limits.is_confirmed(&c.server, now))
@@ -339,12 +375,12 @@
 
     fn ranked_keys(
         &self,
-        service: &str,
+        servers: ServerFilter<'_>,
         adapter: &AdapterId,
         tried: &[Arc<str>],
         now: Duration,
     ) -> Vec<PlacementKey> {
-        let mut available = self.available(service, tried, now);
+        let mut available = self.available(servers, tried, now);
         let with_model: Vec<_> =
             available.iter().copied().filter(|key| self.has_model(*key, &adapter.model)).collect();
         if !with_model.is_empty() {
@@ -441,11 +477,16 @@
     }
 
     /// Lists the servers that accept requests; unreachable ones only if there are no others.
-    fn available(&self, service: &str, tried: &[Arc<str>], now: Duration) -> Vec<PlacementKey> {
+    fn available(
+        &self,
+        servers: ServerFilter<'_>,
+        tried: &[Arc<str>],
+        now: Duration,
+    ) -> Vec<PlacementKey> {
         let available: Vec<PlacementKey> = self
             .candidates
             .iter()
-            .filter(|(_, c)| &*c.server.service == service)
+            .filter(|(_, c)| servers.accepts(&c.server))
             .filter(|(_, c)| self.availability(&c.server, now) == Availability::Available)
             .filter(|(_, c)| !tried.contains(&c.server.id))
             .map(|(key, _)| key)
@@ -461,7 +502,7 @@
         &self,
         mut keys: Vec<PlacementKey>,
         cost: impl Fn(&Candidate) -> f64,
-        service: &str,
+        servers: ServerFilter<'_>,
         now: Duration,
     ) -> Pick {
         let rotation = self.rotation.get();
@@ -472,20 +513,19 @@
         let best = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
         match best {
             Some((key, c)) => Pick::Server(key, c.server.clone()),
-            None => Pick::Unavailable(self.available_at(service, now)),
+            None => Pick::Unavailable(self.available_at(servers, now)),
         }
     }
 
     /// Returns the time at which the first busy server of the service accepts requests again.
-    fn available_at(&self, service: &str, now: Duration) -> Option<Duration> {
-        let servers = self.candidates.values().map(|c| &c.server);
-        let reopen_times =
-            servers.filter(|server| &*server.service == service).filter_map(|server| {
-                match self.availability(server, now) {
-                    Availability::UnavailableUntil(until) => Some(until),
-                    Availability::Available | Availability::Draining => None,
-                }
-            });
+    fn available_at(&self, servers: ServerFilter<'_>, now: Duration) -> Option<Duration> {
+        let accepted = self.candidates.values().map(|c| &c.server);
+        let reopen_times = accepted.filter(|server| servers.accepts(server)).filter_map(|server| {
+            match self.availability(server, now) {
+                Availability::UnavailableUntil(until) => Some(until),
+                Availability::Available | Availability::Draining => None,
+            }
+        });
         reopen_times.min()
     }
 }
--- a/crates/fleet/src/server_list.rs
+++ b/crates/fleet/src/server_list.rs
@@ -80,11 +80,20 @@
     /// When this incarnation of the server started, in Unix milliseconds. A newer incarnation
     /// has none of the state of an older one.
     pub started_at_ms: u64,
+    /// The version of the server's software, if known. What one version began, another one can't
+    /// continue.
+    pub software: Option<Arc<str>>,
     /// The loaded models, for model engines.
     pub models: Vec<LoadedModel>,
 }
 
 impl Server {
+    /// Returns whether the server runs this version of the software; servers of no known version
+    /// count as one version with an empty name.
+    pub fn runs(&self, software: &str) -> bool {
+        self.software.as_deref().unwrap_or("") == software
+    }
+
     /// Returns whether the server lists an adapter as loaded.
     pub fn has_adapter(&self, id: &AdapterId) -> bool {
         let loaded = self.models.iter().filter(|model| model.name == id.model);
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -12,6 +12,7 @@
         slots: 4,
         state: ServerState::Ready,
         started_at_ms: 1,
+        software: None,
         models: Vec::new(),
     }
 }
--- a/crates/fleet/tests/extreme_numbers.rs
+++ b/crates/fleet/tests/extreme_numbers.rs
@@ -23,6 +23,7 @@
         slots: 8,
         state: ServerState::Ready,
         started_at_ms: 1,
+        software: None,
         models: Vec::new(),
     })
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -25,6 +25,7 @@
         slots: 8,
         state: ServerState::Ready,
         started_at_ms: 1,
+        software: None,
         models: vec![model],
     }
 }
