Continue a stream only at the software version that began it

Nothing read the version in a server's row or Resumes: the host's own continuation, and each take-up, went to any server.

A resumable stream now begins at the current version of its service, which a row of the store keeps (one conditional write per change; a third feed, relayed like the others, with a call each 6 s). A request that continues a stream requires the version that began it: as this host remembers, else as the history tells after a read, else as another host tells (64 at most, own zone first, 100 ms). What nobody can tell is refused at once (503, 1313), what has no server left too (1312); both are true, as the new try has not run. With one version nothing is read, asked or filtered. The service of a take-up is chosen by the id of the stream, which the weights of a route would otherwise send to another service.

Tests: software_versions, 14 of 15 cases failed before, all pass.

--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -30,18 +30,23 @@
 /// How old relayed data may be: the wait of the watcher's call, and the transit of the response.
 const CONTROL_FEED_TTL: Duration = Duration::from_millis(1_200);
 const SERVERS_FEED_TTL: Duration = Duration::from_millis(1_700);
+/// How long a call for changes of the streams' versions, which are rare, may wait in the store.
+pub(crate) const STREAM_VERSIONS_FEED_WAIT: Duration = Duration::from_secs(6);
+pub(crate) const STREAM_VERSIONS_FEED_TTL: Duration = Duration::from_secs(7);
+
 /// Returns how old relayed data of a feed may be.
 fn feed_ttl(feed: Feed) -> Duration {
     match feed {
         Feed::Control => CONTROL_FEED_TTL,
         Feed::Servers => SERVERS_FEED_TTL,
+        Feed::StreamVersions => STREAM_VERSIONS_FEED_TTL,
     }
 }
 
 /// Updates that a follower may lag behind; beyond that it gets snapshots of the feeds.
 const FOLLOWER_LAG_MAX: usize = 64;
 
-const FEEDS: [Feed; 2] = [Feed::Control, Feed::Servers];
+const FEEDS: [Feed; 3] = [Feed::Control, Feed::Servers, Feed::StreamVersions];
 
 /// State of one feed: what the watchers relayed, and when this host read it.
 #[derive(Default)]
@@ -52,9 +57,9 @@
     revision: Cell<Option<u64>>,
 }
 
-/// Relayed state of both feeds, as received from watchers and as sent to followers.
+/// Relayed state of the feeds, as received from watchers and as sent to followers.
 pub(crate) struct FeedRelay {
-    feeds: [RelayedFeed; 2],
+    feeds: [RelayedFeed; 3],
     relayed_servers: RefCell<RelayedServers>,
     updates: broadcast::Sender<Bytes>,
 }
@@ -77,7 +82,7 @@
         !self.has_followers() && self.feed(feed).freshness.borrow().is_fresh(feed_ttl(feed), now)
     }
 
-    /// Returns whether both feeds relayed by a watcher are fresh.
+    /// Returns whether all feeds relayed by a watcher are fresh.
     fn is_watcher_fresh(&self, watcher: SocketAddr, now: Duration) -> bool {
         FEEDS.into_iter().all(|feed| {
             self.feed(feed).freshness.borrow().is_watcher_fresh(watcher, feed_ttl(feed), now)
@@ -117,7 +122,7 @@
             false => self.changed_rows(batch, now),
         };
         // An update without rows still advances the followers' revision.
-        let batch = Some((feed, FeedBatch { rows, revision: batch.revision }));
+        let batch = Some((feed, FeedBatch { rows, ..*batch }));
         let update = FeedUpdate { batch, is_snapshot, ages_ms: self.data_ages(now) };
         // Sending fails only if all followers have disconnected.
         let _ = self.updates.send(frame(&PeerResponse::FeedUpdate(update)));
@@ -145,7 +150,7 @@
                 relayed_servers.on_removed(id);
                 true
             }
-            FeedRow::Catalog(_) | FeedRow::Version { .. } => true,
+            FeedRow::Catalog(_) | FeedRow::Version { .. } | FeedRow::StreamVersions(_) => true,
         };
         batch.rows.iter().filter(should_relay).cloned().collect()
     }
@@ -154,11 +159,12 @@
         match feed {
             Feed::Control => &self.feeds[0],
             Feed::Servers => &self.feeds[1],
+            Feed::StreamVersions => &self.feeds[2],
         }
     }
 
     /// Returns, for each feed, the time since the store last responded, in milliseconds.
-    fn data_ages(&self, now: Duration) -> [u32; 2] {
+    fn data_ages(&self, now: Duration) -> [u32; 3] {
         FEEDS.map(|feed| {
             let read_at = self.feed(feed).read_at.get();
             read_at.map_or(u32::MAX, |at| now.saturating_sub(at).as_millis() as u32)
@@ -221,6 +227,7 @@
 /// Encodes a snapshot of a feed.
 fn snapshot(entry: &EntryState, feed: Feed) -> Bytes {
     let mut rows = Vec::new();
+    let now = entry.clock.now();
     match feed {
         Feed::Control => {
             if let Some(catalog) = &*entry.catalog.borrow() {
@@ -235,13 +242,18 @@
                 rows.push(FeedRow::Server { server: Box::new((**server).clone()), revision });
             }
         }
+        Feed::StreamVersions => {
+            rows.extend(entry.stream_versions.rows().into_iter().map(FeedRow::StreamVersions));
+        }
     }
     let revision = match feed {
         Feed::Control => 0,
         Feed::Servers => entry.server_list.borrow().revision(),
+        Feed::StreamVersions => entry.stream_versions.revision(),
     };
-    let batch = Some((feed, FeedBatch { rows, revision }));
-    let ages_ms = entry.feed_relay.data_ages(entry.clock.now());
+    let store_time_ms = entry.stream_versions.store_time_ms(now).unwrap_or(0);
+    let batch = Some((feed, FeedBatch { rows, revision, store_time_ms }));
+    let ages_ms = entry.feed_relay.data_ages(now);
     frame(&PeerResponse::FeedUpdate(FeedUpdate { batch, is_snapshot: true, ages_ms }))
 }
 
@@ -292,7 +304,8 @@
                 PeerResponse::Adapter(_)
                 | PeerResponse::LeaseRenewed { .. }
                 | PeerResponse::Crashes(_)
-                | PeerResponse::Permit(_),
+                | PeerResponse::Permit(_)
+                | PeerResponse::StreamVersion { .. },
             )
             | Err(_) => {
                 log::warn!("watcher {address} sent an unexpected message; closing the connection");
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -9,7 +9,7 @@
 
 use guavaspread_fleet::{
     AdapterId, AttemptOutcome, Attempts, Availability, Pick, PlacementKey, Prompt, RequestClass,
-    RetryDecision, Route, Server,
+    RetryDecision, Route, Server, ServerFilter,
 };
 use guavaspread_model::{ContentId, Refusal};
 use http::{HeaderValue, Request, Response, header, request};
@@ -101,6 +101,8 @@
     tried: Vec<Arc<str>>,
     /// The adapter version of the last successful attempt, which a resumed stream has to keep.
     version: Option<u64>,
+    /// The software version that has to run the request.
+    software: Option<Arc<str>>,
     was_refused: bool,
     /// Whether the request is the quarantine's trial of its content.
     is_trial: bool,
@@ -146,7 +148,11 @@
 
 impl Call {
     async fn handle(self, mut record: Record) -> Response<CallerBody> {
-        let mut progress = Progress::default();
+        let software = match self.required_software().await {
+            Ok(software) => software,
+            Err(refusal) => return refuse_request(record, &refusal),
+        };
+        let mut progress = Progress { software, ..Progress::default() };
         match self.send(&mut progress, &mut record).await {
             SendResult::Response(response, in_flight) => {
                 self.forward_response(*response, in_flight, progress, record)
@@ -190,6 +196,7 @@
                     hold.on_first_token(self.entry.clock.now());
                     in_flight.hold = hold;
                     progress.version = version;
+                    self.remember_software(server.software.as_ref());
                     progress.exclude(&server);
                     return SendResult::Response(response, in_flight);
                 }
@@ -225,7 +232,7 @@
         let without_permits = self.without_permits(now);
         let mut excluded = progress.tried.clone();
         excluded.extend(without_permits.iter().map(|(server, _)| server.clone()));
-        let (key, server) = match self.pick(&excluded, now) {
+        let (key, server) = match self.pick(self.servers(progress), &excluded, now) {
             Pick::Server(key, server) => (key, server),
             Pick::Unavailable(available_at) => {
                 record.add(Step::NoServer);
@@ -244,7 +251,7 @@
         let picked = server.id.clone();
         let candidate = (key, server);
         let ((key, server), access) =
-            self.acquire_adapter(candidate, progress.was_refused, &excluded, record).await;
+            self.acquire_adapter(candidate, progress, &excluded, record).await;
         let (version, hold) = match access {
             Access::Granted(version, hold) => (version, hold),
             Access::LoadTooLate(wait) => {
@@ -286,7 +293,12 @@
         }
     }
 
-    fn pick(&self, excluded: &[Arc<str>], now: Duration) -> Pick {
+    /// Returns which servers may run the request.
+    fn servers<'a>(&'a self, progress: &'a Progress) -> ServerFilter<'a> {
+        ServerFilter { service: &self.service, software: progress.software.as_deref() }
+    }
+
+    fn pick(&self, servers: ServerFilter<'_>, excluded: &[Arc<str>], now: Duration) -> Pick {
         let placement = self.entry.placement.borrow();
         match (&self.info.model, self.adapter()) {
             (Some(_), Some(id)) => {
@@ -294,10 +306,10 @@
                 let grant_cache = self.entry.grant_cache.borrow();
                 let is_holder =
                     |server: &Server| grant_cache.get(&server.id, &id, 0, now).is_some();
-                placement.pick_for_adapter(&self.service, &id, tokens, excluded, &is_holder, now)
+                placement.pick_for_adapter(servers, &id, tokens, excluded, &is_holder, now)
             }
-            (Some(model), None) => placement.pick_for_model(&self.service, model, excluded, now),
-            (None, _) => placement.pick_server(&self.service, excluded, now),
+            (Some(model), None) => placement.pick_for_model(servers, model, excluded, now),
+            (None, _) => placement.pick_server(servers, excluded, now),
         }
     }
 
@@ -321,17 +333,18 @@
     async fn acquire_adapter(
         &self,
         (key, server): Candidate,
-        was_refused: bool,
+        progress: &Progress,
         tried: &[Arc<str>],
         record: &mut Record,
     ) -> (Candidate, Access) {
+        let was_refused = progress.was_refused;
         let access = self.request_access((key, &server), (was_refused, false), record).await;
         if !matches!(access, Access::FetchRequired) {
             return ((key, server), access);
         }
         let mut excluded = tried.to_vec();
         excluded.push(server.id.clone());
-        for (other_key, other) in self.next_engines(&excluded) {
+        for (other_key, other) in self.next_engines(self.servers(progress), &excluded) {
             let access = self.request_access((other_key, &other), (false, false), record).await;
             if matches!(access, Access::Granted(..)) {
                 return ((other_key, other), access);
@@ -342,11 +355,10 @@
     }
 
     /// Returns the next engines in the adapter's rendezvous order.
-    fn next_engines(&self, excluded: &[Arc<str>]) -> Vec<Candidate> {
+    fn next_engines(&self, servers: ServerFilter<'_>, excluded: &[Arc<str>]) -> Vec<Candidate> {
         let Some(id) = self.adapter() else { return Vec::new() };
         let placement = self.entry.placement.borrow();
-        let mut engines =
-            placement.ranked_engines(&self.service, &id, excluded, self.entry.clock.now());
+        let mut engines = placement.ranked_engines(servers, &id, excluded, self.entry.clock.now());
         engines.truncate(OTHER_ENGINES_MAX);
         engines
     }
--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -26,8 +26,11 @@
         let mut excluded = progress.tried.clone();
         excluded.push(server.id.clone());
         excluded.extend(self.without_permits(now).into_iter().map(|(server, _)| server));
-        let has_other =
-            self.entry.placement.borrow().has_untried_server(&self.service, &excluded, now);
+        let has_other = self.entry.placement.borrow().has_untried_server(
+            self.servers(progress),
+            &excluded,
+            now,
+        );
         let wait_max = match has_other {
             true => Duration::ZERO,
             // The rest of the time is left for the response.
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -53,7 +53,9 @@
     let route = route
         .ok_or_else(|| Refusal::not_run(Code::UnknownService, "no route leads from this path"))?;
     let info = info.map_err(malformed)?;
-    let service = route.pick_service(&info.id).cloned();
+    // A stream is continued by the service that began it.
+    let first_id = info.resumes.as_ref().filter(|_| route.has_resumable_streams());
+    let service = route.pick_service(first_id.unwrap_or(&info.id)).cloned();
     let service = service
         .ok_or_else(|| Refusal::not_run(Code::NoBackend, "the route leads to no service"))?;
     record.route = route.name.clone();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,12 +43,13 @@
 mod settings;
 mod state;
 mod store_watch;
+mod stream_versions;
 
 pub use clock::Clock;
 pub use connection_pool::{ConnectionPool, ResponseBody, SendError, ServerResponse};
 pub use platform::{
     EngineClient, EngineReport, Feed, FeedBatch, FeedRow, ForwardInfo, Platform, PlatformClients,
-    Protocol, RequestInfo, ResponseInfo, Store, StoreError, WriteOutcome,
+    Protocol, RequestInfo, ResponseInfo, Store, StoreError, StreamVersionRow, WriteOutcome,
 };
 pub use process::run;
 pub use settings::{EntrySettings, SettingsError};
--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -32,6 +32,13 @@
     Permit(PermitCall),
     /// Reports a server's rate limit.
     RateLimit(LimitUpdate),
+    /// Asks which software version began a stream.
+    StreamVersion {
+        /// Links the reply to this request.
+        request_id: u32,
+        /// The stream.
+        stream: u64,
+    },
 }
 
 /// A message from the host that accepted the connection.
@@ -53,6 +60,13 @@
     Crashes(CrashUpdateReply),
     /// Replies to a request for a permit.
     Permit(PermitReply),
+    /// Tells which software version began a stream.
+    StreamVersion {
+        /// The id of the request.
+        request_id: u32,
+        /// The version; `None` if the stream did not begin at the sender of the reply.
+        software: Option<Arc<str>>,
+    },
 }
 
 /// Requests a permit to send a request to a server with a rate limit.
@@ -158,7 +172,7 @@
     /// Whether the rows are the whole feed.
     pub is_snapshot: bool,
     /// For each feed, the time since the store last responded, in milliseconds.
-    pub ages_ms: [u32; 2],
+    pub ages_ms: [u32; 3],
 }
 
 /// Requests the use of an adapter on an engine.
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -100,6 +100,15 @@
                 }
             }
             PeerRequest::RateLimit(update) => self.entry.on_limit_update(update),
+            PeerRequest::StreamVersion { request_id, stream } => {
+                let software = self.entry.stream_versions.served_at(stream);
+                let reply = PeerResponse::StreamVersion { request_id, software };
+                if self.tx.try_send(frame(&reply)).is_err() {
+                    log::debug!(
+                        "a stream's version was not told: the peer's queue is full or closed"
+                    );
+                }
+            }
             PeerRequest::WatchFeeds => {
                 tokio::task::spawn_local(feed_relay::relay_feeds(
                     self.entry.clone(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -35,6 +35,8 @@
 const CRASH_UPDATE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a peer may take to decide on a permit, which it does without waiting.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a peer may take to tell which version began a stream. A caller waits for it.
+const STREAM_VERSION_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a peer gets no requests after a timeout.
 const SUSPENSION_TIME: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +51,7 @@
     Crashes(CrashUpdate, oneshot::Sender<CrashUpdateReply>),
     Permit(PermitCall, oneshot::Sender<PermitReply>),
     RateLimit(LimitUpdate),
+    StreamVersion(u64, oneshot::Sender<Option<Arc<str>>>),
 }
 
 /// Keeps a connection to each peer that this host sends requests to.
@@ -193,6 +196,18 @@
         }
     }
 
+    /// Asks the host at `address` which software version began a stream; `None` if it does not know
+    /// or does not respond in time.
+    pub(crate) async fn stream_version(
+        self: Rc<Self>,
+        address: SocketAddr,
+        stream: u64,
+    ) -> Option<Arc<str>> {
+        let (reply_tx, reply_rx) = oneshot::channel();
+        self.connection(address).try_send(Outgoing::StreamVersion(stream, reply_tx)).ok()?;
+        tokio::time::timeout(STREAM_VERSION_TIMEOUT, reply_rx).await.ok()?.ok()?
+    }
+
     /// Sends the report of a server's limit to the host at `address`, without acknowledgement.
     ///
     /// A host that misses it learns the limit from the server's own responses.
@@ -229,6 +244,7 @@
     renewals: HashMap<u32, oneshot::Sender<Option<Renewal>>>,
     crash_updates: HashMap<u32, oneshot::Sender<CrashUpdateReply>>,
     permit_calls: HashMap<u32, oneshot::Sender<PermitReply>>,
+    stream_versions: HashMap<u32, oneshot::Sender<Option<Arc<str>>>>,
     last_request_id: u32,
 }
 
@@ -268,6 +284,12 @@
                 PeerRequest::Permit(call)
             }
             Outgoing::RateLimit(update) => PeerRequest::RateLimit(update),
+            Outgoing::StreamVersion(stream, reply_tx) => {
+                let request_id = self.next_request_id();
+                self.stream_versions.retain(|_, reply_tx| !reply_tx.is_closed());
+                self.stream_versions.insert(request_id, reply_tx);
+                PeerRequest::StreamVersion { request_id, stream }
+            }
             Outgoing::FirstToken(request_id) => PeerRequest::FirstToken(request_id),
             Outgoing::ReleaseAdapter(request_id) => PeerRequest::ReleaseAdapter(request_id),
         }
@@ -302,6 +324,13 @@
                 }
                 Next::Continue
             }
+            PeerResponse::StreamVersion { request_id, software } => {
+                if let Some(reply_tx) = self.stream_versions.remove(&request_id) {
+                    // The receiver may have timed out.
+                    let _ = reply_tx.send(software);
+                }
+                Next::Continue
+            }
             PeerResponse::FeedUpdate(_) => Next::Close,
         }
     }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use guavaspread_fleet::{
     AdapterId, Catalog, CommandResult, ContentReport, EngineCommand, LeaseTable, LeaseWrite,
-    LoadReport, LoadedModel, PromptParts, Server, ServerNotice,
+    LoadReport, LoadedModel, PromptParts, Server, ServerNotice, VersionHistory,
 };
 use guavaspread_model::ContentId;
 use http::{HeaderMap, Request, StatusCode, request};
@@ -24,6 +24,8 @@
     Control,
     /// The rows of the backend servers.
     Servers,
+    /// The software versions at which resumable streams begin.
+    StreamVersions,
 }
 
 /// A change of one row of a feed.
@@ -52,6 +54,8 @@
         /// The revision of the removal.
         revision: u64,
     },
+    /// The versions at which the streams of a service began.
+    StreamVersions(StreamVersionRow),
     /// A row that can't be decoded; it is skipped.
     Unreadable {
         /// The row's key.
@@ -63,6 +67,17 @@
     },
 }
 
+/// The software versions at which the resumable streams of a service began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamVersionRow {
+    /// The service.
+    pub service: Arc<str>,
+    /// The versions.
+    pub history: VersionHistory,
+    /// The revision of the row; 0 if the store has none.
+    pub revision: u64,
+}
+
 /// Rows of a feed, as of a revision of the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FeedBatch {
@@ -70,9 +85,11 @@
     pub rows: Vec<FeedRow>,
     /// The revision of the store.
     pub revision: u64,
+    /// The store's clock, in milliseconds.
+    pub store_time_ms: u64,
 }
 
-/// The result of writing lease rows.
+/// The result of a conditional write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// All rows were written.
@@ -173,6 +190,16 @@
     /// Fails like [`Store::snapshot`]; the write may have taken effect.
     async fn write_leases(&self, write: &LeaseWrite) -> Result<WriteOutcome, StoreError>;
 
+    /// Writes the versions at which a service's streams began, if the row has the revision stated.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Store::snapshot`]; the write may have taken effect.
+    async fn write_stream_versions(
+        &self,
+        row: &StreamVersionRow,
+    ) -> Result<WriteOutcome, StoreError>;
+
     /// Overwrites the reports of these contents, and deletes those of the contents `removed`.
     ///
     /// `store_time_ms` is the time of the store's clock at which the reports apply.
@@ -193,6 +220,8 @@
 pub struct RequestInfo {
     /// The id of the request; a caller uses a new one for each of its attempts.
     pub id: Arc<str>,
+    /// The id of the request that began the stream, if this one continues a stream.
+    pub resumes: Option<Arc<str>>,
     /// How long the caller waits for the response, if stated.
     pub caller_timeout: Option<Duration>,
     /// The model, if named.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -20,7 +20,8 @@
 use crate::prelude::*;
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
-use crate::{http_server, lease_renewal, peer_server, store_watch};
+use crate::stream_versions::StreamVersions;
+use crate::{http_server, lease_renewal, peer_server, store_watch, stream_versions};
 
 /// How long a lease lasts. It is longer than most outages of the store; with a shorter one, loads
 /// of adapters would stop during an outage.
@@ -66,6 +67,8 @@
     spawn_local(peer_server::serve(entry.clone(), peer_listener));
     spawn_local(store_watch::watch_feed(entry.clone(), Feed::Control));
     spawn_local(store_watch::watch_feed(entry.clone(), Feed::Servers));
+    spawn_local(store_watch::watch_feed(entry.clone(), Feed::StreamVersions));
+    spawn_local(stream_versions::keep_versions(entry.clone()));
     spawn_local(store_watch::hold_leases(entry.clone()));
     spawn_local(feed_relay::follow_watchers(entry.clone()));
     spawn_local(lease_renewal::write_batches(entry.clone()));
@@ -110,6 +113,7 @@
         leases: RefCell::new(leases),
         leases_changed: Notify::new(),
         owned_engines: OwnedEngines::default(),
+        stream_versions: StreamVersions::default(),
         crash_detector: RefCell::default(),
         quarantine: RefCell::default(),
         hosts_read_at: Cell::default(),
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -92,6 +92,27 @@
     may_have_run()
 }
 
+/// Refuses a stream because no server runs the software version at which streams begin, and the
+/// store keeps no other one yet.
+pub(crate) fn no_stream_version() -> Refusal {
+    let detail = "no server of the version at which streams begin takes requests now";
+    Refusal::not_run(Code::NoBackend, detail).with_retry_after_ms(NO_SERVER_RETRY_AFTER_MS)
+}
+
+/// Refuses to continue a stream whose software version no server runs any more. Its caller can only
+/// begin anew.
+pub(crate) fn stream_version_gone() -> Refusal {
+    let detail = "the servers of the version that began the stream have left; begin it anew";
+    Refusal::not_run(Code::StreamVersionGone, detail)
+}
+
+/// Refuses to continue a stream that another software version may have begun.
+pub(crate) fn stream_version_unknown() -> Refusal {
+    let detail =
+        "another version than those that serve now may have begun the stream; begin it anew";
+    Refusal::not_run(Code::StreamVersionUnknown, detail)
+}
+
 /// Refuses a request whose content stays quarantined for `remaining`, because it crashed servers.
 pub(crate) fn quarantined(attempts: &Attempts, remaining: Duration) -> Refusal {
     if attempts.has_not_run() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -21,6 +21,7 @@
 use crate::platform::PlatformClients;
 use crate::prelude::*;
 use crate::settings::EntrySettings;
+use crate::stream_versions::StreamVersions;
 
 /// The newest version of an adapter, and when this host first received it.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +50,8 @@
     pub(crate) leases: RefCell<LeaseManager>,
     pub(crate) leases_changed: Notify,
     pub(crate) owned_engines: OwnedEngines,
+    /// The software versions of streams.
+    pub(crate) stream_versions: StreamVersions,
     /// Lost connections whose servers may have crashed.
     pub(crate) crash_detector: RefCell<CrashDetector>,
     /// Contents that crashed servers.
@@ -142,6 +145,7 @@
 
     /// Applies changes of the server list.
     pub(crate) fn on_server_changes(self: &Rc<Self>, changes: Vec<ServerChange>) {
+        self.stream_versions.on_server_changes();
         let mut engines_changed = false;
         for change in changes {
             let mut crashes =
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -82,13 +82,14 @@
 /// A call in flight when the network is partitioned blocks the feed until the call times out. The
 /// wait must therefore not be much longer than the time in which a configuration takes effect.
 fn store_wait(entry: &EntryState, feed: Feed) -> Duration {
-    if entry.feed_relay.has_followers() {
+    if entry.feed_relay.has_followers() && feed != Feed::StreamVersions {
         return feed_relay::CONTROL_FEED_WAIT;
     }
     let cfg = entry.cfg.borrow();
     match feed {
         Feed::Control => Duration::from_millis(cfg.apply_ms),
         Feed::Servers => Duration::from_millis(cfg.drain_ms),
+        Feed::StreamVersions => feed_relay::STREAM_VERSIONS_FEED_WAIT,
     }
 }
 
@@ -111,6 +112,7 @@
     entry.on_store_revision(batch.revision);
     let mut changes = Vec::new();
     let mut servers = Vec::new();
+    let mut stream_versions = Vec::new();
     for row in batch.rows {
         match row {
             FeedRow::Catalog(catalog) => entry.on_catalog(*catalog),
@@ -124,6 +126,7 @@
             FeedRow::Removed { id, revision } => {
                 changes.extend(entry.server_list.borrow_mut().remove(&id, revision, now));
             }
+            FeedRow::StreamVersions(row) => stream_versions.push(row),
             FeedRow::Unreadable { key, revision, reason } => {
                 entry.metrics.unreadable_rows.inc();
                 log::warn!("row {key} can't be parsed and counts as missing: {reason}");
@@ -141,6 +144,9 @@
         }
         changes.extend(server_list.remove_missing(now));
     }
+    if feed == Feed::StreamVersions {
+        entry.stream_versions.on_read(stream_versions, batch.store_time_ms, is_snapshot, now);
+    }
     entry.on_server_changes(changes);
 }
 
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -81,6 +81,10 @@
     ContentHeld = 1310, 503, "backend servers ended under this content; it is held back";
     /// Backend servers crashed under a part of the prompt; requests with it are refused for a time.
     PromptPartHeld = 1311, 503, "backend servers ended under a part of the prompt; it is held back";
+    /// No backend server runs the software version that began the stream.
+    StreamVersionGone = 1312, 503, "no backend server has the version that began the stream";
+    /// Nobody can tell which software version began the stream.
+    StreamVersionUnknown = 1313, 503, "the version that began the stream is not known";
     /// The backend server ended the response before it was complete.
     Cut = 1401, 502, "the answer was cut short";
     /// The backend server failed.
