Read the streams' versions at intervals instead of waiting for a change

The call for changes waited 6 s in the store, and feed_reads_wait_no_longer_than_apply_ms (platform/tests/ requests) rightly forbids a feed to wait longer than apply-ms: during a partition the call in flight gets no answer. Changes are rare and a host may learn of one late, as its streams count as ambiguous for the TTL of 7 s longer; so the feed is read every 6 s without a wait, which costs the same number of calls.

--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -30,8 +30,9 @@
 /// How old relayed data may be: the wait of the watcher's call, and the transit of the response.
 const CONTROL_FEED_TTL: Duration = Duration::from_millis(1_200);
 const SERVERS_FEED_TTL: Duration = Duration::from_millis(1_700);
-/// How long a call for changes of the streams' versions, which are rare, may wait in the store.
-pub(crate) const STREAM_VERSIONS_FEED_WAIT: Duration = Duration::from_secs(6);
+/// Interval between reads of the streams' versions. A host that has not learned of a change yet begins
+/// streams at the previous version, which the others take into account for the TTL.
+pub(crate) const STREAM_VERSIONS_FEED_INTERVAL: Duration = Duration::from_secs(6);
 pub(crate) const STREAM_VERSIONS_FEED_TTL: Duration = Duration::from_secs(7);
 
 /// Returns how old relayed data of a feed may be.
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -51,8 +51,12 @@
                 after = Some(batch.revision.max(after.unwrap_or(0)));
                 entry.feed_relay.on_read(&entry, feed, &batch, is_snapshot);
                 apply_batch(&entry, feed, batch, is_snapshot, now);
-                if feed == Feed::Servers {
-                    tokio::time::sleep(servers_interval(&entry)).await;
+                match feed {
+                    Feed::Control => {}
+                    Feed::Servers => tokio::time::sleep(servers_interval(&entry)).await,
+                    Feed::StreamVersions => {
+                        tokio::time::sleep(feed_relay::STREAM_VERSIONS_FEED_INTERVAL).await;
+                    }
                 }
             }
             Err(StoreError::HistoryCompacted) => {
@@ -89,7 +93,7 @@
     match feed {
         Feed::Control => Duration::from_millis(cfg.apply_ms),
         Feed::Servers => Duration::from_millis(cfg.drain_ms),
-        Feed::StreamVersions => feed_relay::STREAM_VERSIONS_FEED_WAIT,
+        Feed::StreamVersions => Duration::ZERO,
     }
 }
 
