Continue a stream only with events that follow it

The host took any 2xx for the rest: the caller has the head of the first response, so what the next head says was lost.

And the framer checks that the first events of a server follow those that were passed on, also those that the caller names in Last-Event-Id: their id must be greater, and the next one if the ids were consecutive. A server that answers so isn't counted as crashed.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -211,11 +211,10 @@
             Ok(data) => data,
             Err(other) => return PollStep::Return(Some(Ok(other))),
         };
-        let complete_events = resumer.events.push(&frame);
-        if complete_events.is_empty() {
-            PollStep::Repeat
-        } else {
-            PollStep::Return(Some(Ok(Frame::data(complete_events))))
+        match resumer.events.push(&frame) {
+            Some(complete) if complete.is_empty() => PollStep::Repeat,
+            Some(complete) => PollStep::Return(Some(Ok(Frame::data(complete)))),
+            None => self.on_server_lost("the events do not continue the stream".to_owned()),
         }
     }
 
@@ -254,6 +253,19 @@
         if let Some(in_flight) = &self.in_flight {
             in_flight.on_connection_lost(loss);
         }
+        self.resume_or_abort()
+    }
+
+    /// Handles a response that is not what the stream needs, though its server may be sound.
+    fn on_server_lost(&mut self, detail: String) -> PollStep {
+        if let Some(record) = &mut self.record {
+            record.add_failure(AttemptOutcome::Unknown, detail);
+        }
+        self.count_failure();
+        self.resume_or_abort()
+    }
+
+    fn resume_or_abort(&mut self) -> PollStep {
         let now = self.in_flight.take().map_or(self.last_bytes_at, |in_flight| in_flight.now());
         match (self.resumer.take(), self.record.take()) {
             (Some(resumer), Some(record)) => {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -12,7 +12,7 @@
     RetryDecision, Route, Server, ServerFilter,
 };
 use guavaspread_model::{ContentId, Refusal};
-use http::{HeaderValue, Request, Response, header, request};
+use http::{Request, Response, header, request};
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, AccessParams, AdapterHold};
@@ -28,10 +28,9 @@
     deadline_exceeded, engines_full, no_server, not_loaded, retry_budget_spent, unknown_adapter,
 };
 use crate::respond::problem_response;
-use crate::resume::Resumer;
+use crate::resume::{Resumer, is_event_stream_type};
 use crate::state::EntryState;
 
-const EVENT_STREAM: &str = "text/event-stream";
 /// How long a response body may still be streamed after the request's deadline.
 const STREAM_DEADLINE_MARGIN: Duration = Duration::from_millis(350);
 /// The shortest time before its deadline at which a request is still sent.
@@ -432,7 +431,7 @@
             None if body.framing() == Framing::Close => Media::Events,
             Some(_) | None => Media::Unclear,
         };
-        let resumer = can_resume.then(|| Box::new(Resumer::new(self, progress)));
+        let resumer = can_resume.then(|| Box::new(Resumer::new(self, progress, &headers)));
         let body = (body, media);
         let forwarded =
             ForwardedBody::new(body, remaining, status.as_u16(), record, in_flight, resumer);
@@ -442,8 +441,3 @@
         res
     }
 }
-
-fn is_event_stream_type(content_type: &HeaderValue) -> bool {
-    let text = content_type.to_str().unwrap_or("").trim_start();
-    text.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
-}
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -3,10 +3,11 @@
 use std::pin::Pin;
 
 use guavaspread_fleet::{AttemptOutcome, EventFramer, RetryDecision};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 use crate::access::RESUME_LOAD_TIMEOUT;
 use crate::body::InFlight;
-use crate::connection_pool::ResponseBody;
+use crate::connection_pool::{ResponseBody, ServerResponse};
 use crate::forward::{Call, Progress, SendResult};
 use crate::prelude::*;
 use crate::record::{Record, Step};
@@ -14,6 +15,7 @@
 /// The header with the id of the last event received, as defined for server-sent events.
 pub(crate) const LAST_EVENT_ID: http::HeaderName = http::HeaderName::from_static("last-event-id");
 
+const EVENT_STREAM: &str = "text/event-stream";
 /// The longest stall of a stream during which it may still be resumed.
 ///
 /// Callers give up on a stalled stream after two seconds or more, and then do not retry. A caller
@@ -27,6 +29,8 @@
     call: Call,
     progress: Progress,
     pub(crate) events: EventFramer,
+    /// Whether the first response declared its type.
+    has_declared_type: bool,
 }
 
 /// The result of an attempt to resume a stream.
@@ -40,8 +44,12 @@
 pub(crate) type ResumeFuture = Pin<Box<dyn Future<Output = Resumed>>>;
 
 impl Resumer {
-    pub(crate) fn new(call: Call, progress: Progress) -> Self {
-        Resumer { call, progress, events: EventFramer::default() }
+    /// Prepares to resume a stream whose first response had these headers.
+    pub(crate) fn new(call: Call, progress: Progress, headers: &HeaderMap) -> Self {
+        let last_id = call.head.headers.get(LAST_EVENT_ID).and_then(|id| id.to_str().ok());
+        let events = EventFramer::after(last_id);
+        let has_declared_type = headers.contains_key(header::CONTENT_TYPE);
+        Resumer { call, progress, events, has_declared_type }
     }
 
     /// Resumes the stream on another server, after the last event that was forwarded.
@@ -58,8 +66,7 @@
         stall_time: Duration,
     ) -> Resumed {
         let remaining = STALL_MAX.saturating_sub(stall_time);
-        let decision = self.progress.on_server_lost(&self.call.route, AttemptOutcome::Unknown);
-        if decision != RetryDecision::TryNext || !self.events.can_resume() || remaining.is_zero() {
+        if !self.events.can_resume() || remaining.is_zero() {
             return Resumed { record, continuation: None };
         }
         self.events.discard_partial();
@@ -71,14 +78,57 @@
         self.call.load_timeout = RESUME_LOAD_TIMEOUT;
         self.call.response_due = self.call.entry.clock.now() + pause;
         record.add(Step::Resumes { behind: self.events.last_id().map(Into::into) });
-        let send = self.call.send(&mut self.progress, &mut record);
-        match tokio::time::timeout(remaining, send).await {
-            Ok(SendResult::Response(response, in_flight)) if response.head.status.is_success() => {
+        let next = self.next_response(&mut record);
+        match tokio::time::timeout(remaining, next).await {
+            Ok(Some((response, in_flight))) => {
                 Resumed { record, continuation: Some((response.body, in_flight, self)) }
             }
-            Ok(SendResult::Response(..) | SendResult::GivenUp(..)) | Err(_) => {
-                Resumed { record, continuation: None }
+            Ok(None) | Err(_) => Resumed { record, continuation: None },
+        }
+    }
+
+    /// Sends the request to one server after another until one continues the stream.
+    async fn next_response(
+        &mut self,
+        record: &mut Record,
+    ) -> Option<(Box<ServerResponse>, InFlight)> {
+        loop {
+            let outcome = AttemptOutcome::Unknown;
+            let decision = self.progress.on_server_lost(&self.call.route, outcome);
+            if decision != RetryDecision::TryNext {
+                return None;
+            }
+            match self.call.send(&mut self.progress, record).await {
+                SendResult::Response(response, in_flight) if self.continues(&response) => {
+                    return Some((response, in_flight));
+                }
+                SendResult::Response(response, _) => {
+                    let status = response.head.status;
+                    record.add_failure(outcome, format!("an answer {status} that is no stream"));
+                    response.close();
+                }
+                SendResult::GivenUp(_) => return None,
             }
         }
     }
+
+    /// Returns whether the rest of the stream may follow this head.
+    ///
+    /// The caller has the head of the first response, so nothing else tells it what the body is.
+    fn continues(&self, response: &ServerResponse) -> bool {
+        let headers = &response.head.headers;
+        let is_typed = match headers.get(header::CONTENT_TYPE) {
+            Some(declared) => is_event_stream_type(declared),
+            None => !self.has_declared_type,
+        };
+        response.head.status == StatusCode::OK
+            && is_typed
+            && !headers.contains_key(header::CONTENT_ENCODING)
+    }
+}
+
+/// Returns whether a `Content-Type` declares server-sent events.
+pub(crate) fn is_event_stream_type(content_type: &HeaderValue) -> bool {
+    let text = content_type.to_str().unwrap_or("").trim_start();
+    text.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
 }
--- a/crates/fleet/src/event_framer.rs
+++ b/crates/fleet/src/event_framer.rs
@@ -20,31 +20,64 @@
     last_id: Option<String>,
     has_events: bool,
     is_passthrough: bool,
+    order: EventOrder,
+}
+
+/// Checks that the events of the next server follow those of the previous one.
+#[derive(Debug, Default)]
+struct EventOrder {
+    last: Option<u64>,
+    /// Whether each id was by one greater than the one before; `None` until two are known.
+    is_consecutive: Option<bool>,
+    /// Whether the next event is the first of another server.
+    is_resuming: bool,
+}
+
+impl EventOrder {
+    /// Records the id of an event; returns whether it follows the previous ones.
+    fn on_id(&mut self, id: &str) -> bool {
+        let (last, id) = (self.last, id.parse::<u64>().ok());
+        self.last = id;
+        let is_resuming = std::mem::take(&mut self.is_resuming);
+        let (Some(last), Some(id)) = (last, id) else { return true };
+        let is_next = id.checked_sub(1) == Some(last);
+        if !is_resuming {
+            self.is_consecutive = Some(is_next && self.is_consecutive.unwrap_or(true));
+            return true;
+        }
+        is_next || (id > last && self.is_consecutive != Some(true))
+    }
 }
 
 impl EventFramer {
-    /// Adds received bytes and returns the events that they complete.
-    pub fn push(&mut self, bytes: &Bytes) -> Bytes {
+    /// Creates the framer of a stream whose caller has received the event with this id.
+    pub fn after(id: Option<&str>) -> Self {
+        let last = id.and_then(|id| id.trim().parse().ok());
+        let order = EventOrder { last, is_consecutive: None, is_resuming: last.is_some() };
+        EventFramer { order, ..EventFramer::default() }
+    }
+
+    /// Adds received bytes and returns the events that they complete; `None` if these do not follow
+    /// the events of the previous server.
+    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
         let end = self.scanner.push(bytes);
         if self.is_passthrough {
-            return bytes.clone();
+            return Some(bytes.clone());
         }
         if self.buffered.is_empty() && end == Some(bytes.len()) {
-            self.record_events(bytes);
-            return bytes.clone();
+            return self.record_events(bytes).then(|| bytes.clone());
         }
         let buffered = self.buffered.len();
         self.buffered.extend_from_slice(bytes);
         let Some(end) = end else {
             if self.buffered.len() <= BUFFERED_BYTES_MAX {
-                return Bytes::new();
+                return Some(Bytes::new());
             }
             self.is_passthrough = true;
-            return self.buffered.split().freeze();
+            return (!self.order.is_resuming).then(|| self.buffered.split().freeze());
         };
         let complete = self.buffered.split_to(buffered + end).freeze();
-        self.record_events(&complete);
-        complete
+        self.record_events(&complete).then_some(complete)
     }
 
     /// Returns the buffered bytes at the end of the stream.
@@ -56,6 +89,7 @@
     pub fn discard_partial(&mut self) {
         self.buffered.clear();
         self.scanner = EventScanner::default();
+        self.order.is_resuming = self.order.last.is_some();
     }
 
     /// Returns where the stream of the current server stands.
@@ -73,12 +107,18 @@
         self.last_id.as_deref()
     }
 
-    fn record_events(&mut self, events: &[u8]) {
+    /// Records complete events; returns whether they follow the previous ones.
+    fn record_events(&mut self, events: &[u8]) -> bool {
         self.has_events |= self.scanner.has_events();
         for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             if let Some(id) = line.strip_prefix(ID_FIELD) {
                 self.last_id = std::str::from_utf8(id).ok().map(|id| id.trim().to_owned());
+                if !self.order.on_id(self.last_id.as_deref().unwrap_or_default()) {
+                    return false;
+                }
             }
         }
+        // An event without an id does not tell where it belongs.
+        !self.order.is_resuming || !self.scanner.has_events()
     }
 }
--- a/crates/fleet/tests/event_framer.rs
+++ b/crates/fleet/tests/event_framer.rs
@@ -31,7 +31,7 @@
                 let (chunk, remaining) =
                     unsent.split_at(rng.random_range(1..=unsent.len().min(40)));
                 let chunk = Bytes::copy_from_slice(chunk.as_bytes());
-                forwarded += std::str::from_utf8(&framer.push(&chunk)).unwrap();
+                forwarded += std::str::from_utf8(&framer.push(&chunk).unwrap()).unwrap();
                 unsent = remaining;
             }
             assert!(
@@ -62,10 +62,10 @@
 fn an_oversized_event_is_forwarded_and_makes_the_stream_unresumable() {
     let mut framer = EventFramer::default();
     let chunk = Bytes::from(vec![b'x'; 40_000]);
-    assert!(framer.push(&chunk).is_empty());
-    assert_eq!(framer.push(&chunk).len(), 80_000);
+    assert!(framer.push(&chunk).unwrap().is_empty());
+    assert_eq!(framer.push(&chunk).unwrap().len(), 80_000);
     assert!(!framer.can_resume());
-    assert_eq!(framer.push(&chunk), chunk);
+    assert_eq!(framer.push(&chunk), Some(chunk));
 }
 
 #[test_case(&[] => Start; "nothing")]
