Gateway: pass on no other engine's error as the rest of a response

A streamed completion whose engine broke off got [DONE] after the events of the first engine, as if complete, when the next engine answered 404 (first run of the new test); a response that was not streamed bore the status and type of the first engine with the body of the next one (by reading; the same test checks it). The gateway dropped the head of a retry, since the caller has that of the first run.

Now a stream ends with an error event unless the retry answers 200, and a body in one piece takes the status and type of the retry with its body. Ruled out: the services' path, which retries nothing once an answer has begun (a test with plain servers got 502, Cut), and stored answers of a repeated key, as such requests aren't retried. The engine stand-in lets the second run of a request fail (next-fails).

Test: closed_connections answer_of_the_next_engine_is_no_part_of_the_first failed before, passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 /// Statuses that callers take for the promise that the request did not run. Backend servers state
 /// no such thing.
 pub(crate) const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
+const STATUS_OK: u16 = 200;
 const ATTEMPTS_MAX: usize = 4;
 /// How long a request waits for a reachable engine: enough for a lease expiry and a takeover.
 const ENGINE_WAIT_TIMEOUT: Duration = Duration::from_secs(8);
@@ -250,6 +251,12 @@
         self.worker.on_attempt_failed(&rx.chosen);
         drop(rx);
         match self.resume(refusal).await {
+            // The caller has the head of a stream of events; nothing else may follow it.
+            Ok(Started { status, .. }) if self.command.stream && status != STATUS_OK => {
+                let detail =
+                    format!("the engine that was to continue the stream answered {status}");
+                (Err(Refusal::maybe_ran(Code::Cut, detail)), None)
+            }
             Ok(started) => {
                 let Started { status, content_type, rx } = started;
                 let head = RunEvent::ResponseHead { status, content_type, digest: None };
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -50,13 +50,18 @@
     }
 
     async fn deliver_body(self, response: RunResponse) -> Result<HttpResponse, Refusal> {
-        let RunResponse { status, content_type, mut events } = response;
+        let RunResponse { mut status, mut content_type, mut events } = response;
         let mut body = BytesMut::new();
         loop {
             match events.next().await {
                 Some(Ok(RunEvent::Data(data))) => body.extend_from_slice(&data),
                 // A retry restarted the run from the beginning.
-                Some(Ok(RunEvent::ResponseHead { .. })) => body.clear(),
+                Some(Ok(RunEvent::ResponseHead {
+                    status: next, content_type: next_type, ..
+                })) => {
+                    (status, content_type) = (next, next_type);
+                    body.clear();
+                }
                 Some(Ok(RunEvent::Done)) => break,
                 Some(Ok(RunEvent::Refused(refusal)) | Err(refusal)) => return Err(refusal),
                 None => return Err(ended_early_refusal()),
--- a/crates/scenario/tests/closed_connections.rs
+++ b/crates/scenario/tests/closed_connections.rs
@@ -82,6 +82,30 @@
     assert_eq!((reply.status, reply.ran()), (502, "maybe"), "{reply:?}");
 }
 
+/// The head of the first server is what the caller has of a stream; without one, the answer of the next
+/// server replaces that of the first with its status.
+#[test]
+fn answer_of_the_next_engine_is_no_part_of_the_first() {
+    let fleet = Fleet::start(&FleetSpec::default()).unwrap();
+    declare_sample(&fleet).unwrap();
+    let caller = fleet.caller(&fleet.entry_host_name(0).unwrap(), KITA_KEY).unwrap();
+    for status in [404, 400] {
+        let send = |stream: bool, fault: &str| {
+            let body = json!({
+                "model": INTAKE_ADAPTER, "messages": [{"role": "user", "content": fault}],
+                "max_tokens": 5, "stream": stream, "seed": 1,
+                "user": format!("standin:{fault}=2,next-fails={status}"),
+            });
+            caller.post("/v1/chat/completions").json(&body).send().unwrap()
+        };
+        let streamed = send(true, "stop-after").text().unwrap();
+        assert!(streamed.contains("intake") && streamed.contains("event: error"), "{streamed}");
+        assert!(!streamed.contains("next") && !streamed.contains("[DONE]"), "{streamed}");
+        let whole = read_json(send(false, "crash")).unwrap();
+        assert_eq!((whole.status, &whole.body["next"]), (status, &json!("error")), "{whole:?}");
+    }
+}
+
 #[test]
 fn request_that_may_have_run_is_not_refused_when_the_retry_budget_is_spent() {
     let fleet = Fleet::start(&FleetSpec::default()).unwrap();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -4,9 +4,10 @@
 //! Before token 3, `standin:crash=3` crashes the engine, `standin:stop-after=3` ends the stream
 //! without an end marker, `standin:silent-after=3` keeps the stream open without sending more, and
 //! `standin:half-event=3` ends the stream in the middle of an event. `standin:fail=3` ends a request
-//! that is not streamed with status 503.
+//! that is not streamed with status 503. `standin:next-fails=404` lets every run of the request but
+//! the first one in this process end with this status.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,7 +16,7 @@
 use futures::stream;
 use guavaspread_model::AdapterVersion;
 use ntex::client::Client;
-use ntex::http::header;
+use ntex::http::{StatusCode, header};
 use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::types::{Json, State};
@@ -26,6 +27,9 @@
 use crate::server;
 use crate::tokens::CompletionRequest;
 
+/// Requests with the fault `next-fails` that began on an engine of this process.
+static BEGUN: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
 const LOAD_TIMEOUT_MS: u32 = 60_000;
 /// Longer than any client waits for the next token.
 const SILENCE_DURATION: Duration = Duration::from_secs(3_600);
@@ -331,6 +335,13 @@
         let error = json!({"error": {"message": "the model does not exist", "code": 404}});
         return HttpResponse::NotFound().header("x-adapter-missing", "1").json(&error);
     };
+    if let Some(status) = body.fault("next-fails") {
+        let is_first = BEGUN.lock().unwrap_or_else(PoisonError::into_inner).insert(id.to_owned());
+        let status = StatusCode::from_u16(status as u16).ok().filter(|_| !is_first);
+        if let Some(status) = status {
+            return HttpResponse::build(status).json(&json!({"next": "error"}));
+        }
+    }
     let token_ms = this.lock().spec.token_ms;
     let run = Run { guard, body, id: id.to_owned(), chat, index: 0, token_ms };
     match run.body.stream {
