Grant the slack of the retry budget once to all hosts together

Each host uses a part of the slack, and three ways granted more of it than there is:

- A host knew the number of hosts only from its reads of the leases, which stop once every engine has an owner.
Of hosts that start one after the other, the first ones kept the part of a fleet of 16.
Renewals through a delegate now tell the number of hosts; a host that writes its own lease reads at least every 30 s.
- Before the first read, the part was that of a fleet of 16: 26.9 of 430 retries for each of 195 hosts.
It is now one retry, which only requests earn.
- A process that replaces another began with a full part, so that a restart of all hosts granted the slack twice within the window of 10 s.
Such a process now earns retries by its requests until the window is over; its lease tells of its predecessor.
A change of the settings refilled the part as well.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use eyre::{Context, Result};
-use guavaspread_fleet::{GrantCache, LeaseManager, LeaseTimes, Placement, ServerList};
+use guavaspread_fleet::{GrantCache, LeaseManager, LeaseTimes, Placement, RetryShares, ServerList};
 use http::StatusCode;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -120,8 +120,7 @@
         announced_hosts: RefCell::default(),
         permit_issuer: RefCell::default(),
         crash_gossip: CrashGossip::default(),
-        retry_budgets: RefCell::default(),
-        lease_holder_count: Cell::new(0),
+        retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
         rejects_requests: Cell::new(false),
         cfg: RefCell::new(cfg),
@@ -153,8 +152,8 @@
             Ok(cfg) if cfg == *entry.cfg.borrow() => {}
             Ok(cfg) => {
                 log::info!("settings reloaded; changed addresses take effect at the next start");
+                entry.retry_shares.borrow_mut().set_limits(cfg.retry_share, cfg.retry_slack);
                 entry.cfg.replace(cfg);
-                entry.retry_budgets.borrow_mut().clear();
             }
             Err(e) => {
                 log::warn!("reloading the settings failed; the previous ones stay in force: {e}")
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,11 +4,10 @@
 
 use guavaspread_fleet::{
     AdapterId, Availability, Catalog, CrashDetector, GrantCache, HostLease, LeaseManager,
-    LeaseTable, PermitIssuer, Placement, Quarantine, Server, ServerChange, ServerCrash, ServerList,
-    ServerNotice, host_retry_budget, host_retry_slack, revision_era,
+    LeaseTable, PermitIssuer, Placement, Quarantine, RetryShares, Server, ServerChange,
+    ServerCrash, ServerList, ServerNotice, revision_era,
 };
 use guavaspread_model::ContentId;
-use guavaspread_placement::RetryBudget;
 use tokio::sync::{Notify, watch};
 
 use crate::connection_pool::ConnectionPool;
@@ -57,15 +56,13 @@
     /// Contents that crashed servers.
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crash_gossip: CrashGossip,
-    pub(crate) retry_budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
+    pub(crate) retry_shares: RefCell<RetryShares>,
     /// When the list of hosts was last read for another purpose than a lease.
     pub(crate) hosts_read_at: Cell<Option<Duration>>,
     /// Hosts that announced themselves as coordinators since the leases were last read.
     pub(crate) announced_hosts: RefCell<BTreeMap<Arc<str>, HostLease>>,
     /// Permits of the rate-limited servers that this host coordinates.
     pub(crate) permit_issuer: RefCell<PermitIssuer>,
-    /// Number of entry hosts with a valid lease at the last read of the leases.
-    pub(crate) lease_holder_count: Cell<usize>,
     /// Becomes true when the process starts to shut down.
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether this host rejects new requests.
@@ -238,24 +235,22 @@
         self.leases_changed.notify_waiters();
     }
 
-    /// Sets the number of entry hosts that share the retry budgets.
-    pub(crate) fn set_lease_holder_count(&self, holder_count: usize) {
-        if self.lease_holder_count.replace(holder_count) != holder_count {
-            let tokens_max = host_retry_slack(self.cfg.borrow().retry_slack, holder_count);
-            for budget in self.retry_budgets.borrow_mut().values_mut() {
-                budget.set_tokens_max(tokens_max);
-            }
-        }
+    /// Applies the number of hosts with leases, among which the retry budgets are divided.
+    pub(crate) fn on_holder_count(&self, holder_count: usize) {
+        let now = self.clock.now();
+        let predecessor_age = self.leases.borrow().predecessor_age(now);
+        self.retry_shares.borrow_mut().on_holders(holder_count, predecessor_age, now);
     }
 
     /// Adds a request to the retry budget of its service.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
-        self.with_retry_budget(service, RetryBudget::on_request);
+        self.retry_shares.borrow_mut().on_request(service, self.clock.now());
     }
 
     /// Spends one retry from the budget of a service; returns whether the retry is allowed.
     pub(crate) fn try_spend_retry(&self, service: &Arc<str>) -> bool {
-        let is_allowed = self.with_retry_budget(service, RetryBudget::try_take);
+        let now = self.clock.now();
+        let is_allowed = self.retry_shares.borrow_mut().try_take(service, now);
         if is_allowed {
             self.metrics.retries.inc();
         } else {
@@ -263,13 +258,4 @@
         }
         is_allowed
     }
-
-    fn with_retry_budget<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let cfg = self.cfg.borrow();
-            host_retry_budget(cfg.retry_share, cfg.retry_slack, self.lease_holder_count.get())
-        });
-        f(budget)
-    }
 }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -17,6 +17,8 @@
 /// no load on a store that is unreachable, so the delay does not grow in this case.
 const STORE_RETRY_INTERVAL_MAX: Duration = Duration::from_millis(1_200);
 
+/// The longest interval between reads of the list of hosts while this host writes its own lease.
+const HOSTS_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// How old the list of hosts may be when hosts have to agree on a coordinator or inform each other.
 const HOSTS_TTL: Duration = Duration::from_secs(3);
 
@@ -175,6 +177,11 @@
                     // hosts may start.
                     let after = entry.leases.borrow().revision();
                     read_leases(&entry, after).await;
+                } else if is_written && now >= entry.leases.borrow().read_at() + HOSTS_READ_INTERVAL
+                {
+                    // Without a delegate, nothing else tells of the hosts that have started since.
+                    let after = entry.leases.borrow().revision();
+                    read_leases(&entry, after).await;
                 }
             }
             LeaseAction::Wait(at) => {
@@ -231,7 +238,7 @@
             entry.on_lease_table(table, after.is_none(), sent_at);
             entry.announced_hosts.borrow_mut().clear();
             let holder_count = entry.leases.borrow().live_hosts(now).count();
-            entry.set_lease_holder_count(holder_count);
+            entry.on_holder_count(holder_count);
             entry.on_persisted_reports(&content_reports);
         }
         Err(StoreError::HistoryCompacted) => {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -285,6 +285,7 @@
         LeaseSummary {
             until_ms: until_ms.min().unwrap_or(0),
             except: except.map(|host| host.holder.clone()).collect(),
+            holder_count: self.live_hosts(now).count(),
         }
     }
 
@@ -332,6 +333,19 @@
         })
     }
 
+    /// Returns how long ago, at least, an earlier process of this host ended, as its lease shows until
+    /// this process writes one.
+    pub fn predecessor_age(&self, now: Duration) -> Option<Duration> {
+        let own_row = self.hosts.get(&self.host).filter(|row| row.until_ms > 0)?;
+        let age_ms = self.earliest_ms(now).saturating_sub(own_row.until_ms);
+        self.own_lease.is_none().then(|| Duration::from_millis(age_ms))
+    }
+
+    /// Returns when the leases were last read.
+    pub fn read_at(&self) -> Duration {
+        self.read_at
+    }
+
     /// Returns the leases of the entry hosts that were live when the table was last read.
     ///
     /// The last read may be long ago if the store is unavailable.
--- a/crates/fleet/src/lease/rows.rs
+++ b/crates/fleet/src/lease/rows.rs
@@ -185,6 +185,9 @@
     pub until_ms: u64,
     /// The hosts whose leases the summary leaves out; `until_ms` does not apply to them.
     pub except: Vec<Arc<str>>,
+    /// The number of live hosts. A host that does not read the table knows only those that had
+    /// started before it.
+    pub holder_count: usize,
 }
 
 /// The next action on leases.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,7 +22,7 @@
 //! | attribute server crashes to requests | [`CrashDetector`], [`ServerCrash`] |
 //! | quarantine content that crashes servers | [`Quarantine`], [`Admission`] |
 //! | quarantine prompt parts that crash servers | [`PromptParts`], [`PartsAdmission`] |
-//! | divide the retry budget of a service among hosts | [`host_retry_budget`] |
+//! | divide the retry budget of a service among hosts | [`RetryShares`] |
 //! | forward only complete events of a stream | [`EventFramer`] |
 //! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
 //! | know which software version began a stream | [`VersionHistory`] |
@@ -87,7 +87,7 @@
 pub use quarantine::{Admission, ContentReport, ContentSummary, Quarantine, tracking_hosts};
 pub use rate_limit::{LimitChange, LimitReport, NamedLimit, RateLimit, RateLimits};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
-pub use retry_shares::{host_retry_budget, host_retry_slack};
+pub use retry_shares::RetryShares;
 pub use revision::{ERA_MAX, revision, revision_era, revision_number};
 pub use server_list::{
     AdapterId, LoadedAdapter, LoadedModel, Server, ServerChange, ServerList, ServerState,
--- a/crates/placement/src/retry_budget.rs
+++ b/crates/placement/src/retry_budget.rs
@@ -17,12 +17,23 @@
         RetryBudget { tokens: tokens_max, share, tokens_max }
     }
 
-    /// Sets the maximum number of retries in the budget.
-    pub fn set_tokens_max(&mut self, tokens_max: f64) {
+    /// Creates a budget without retries.
+    pub fn empty(share: f64, tokens_max: f64) -> Self {
+        RetryBudget { tokens: 0.0, share, tokens_max }
+    }
+
+    /// Sets the share and the maximum number of retries in the budget.
+    pub fn set_limits(&mut self, share: f64, tokens_max: f64) {
+        self.share = share;
         self.tokens_max = tokens_max;
         self.tokens = self.tokens.min(tokens_max);
     }
 
+    /// Fills the budget up to its maximum.
+    pub fn fill(&mut self) {
+        self.tokens = self.tokens_max;
+    }
+
     /// Records a first attempt, which adds `share` tokens.
     pub fn on_request(&mut self) {
         self.tokens = (self.tokens + self.share).min(self.tokens_max);
