Mark a response complete only when its last events have been checked

Now the mark follows the check, and the reset is taken back at the shutdown, which follows the last write.

broken_off_streams, next_server_fails, resume, close_delimited pass.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -198,24 +198,28 @@
         if let (Media::Events | Media::Unclear, Some(data)) = (self.media, frame.data_ref()) {
             self.scanner.push(data);
         }
-        if matches!(&self.source, Source::Server(body) if body.is_end_stream()) {
-            // With its last bytes, the caller would have the length announced.
-            if let Some(detail) = self.broken_off() {
-                return self.on_connection_lost(detail.to_owned(), ConnectionLoss::Closed);
-            }
-            self.record_body_end();
-            self.end_complete();
+        let is_end = matches!(&self.source, Source::Server(body) if body.is_end_stream());
+        if let Some(detail) = self.broken_off().filter(|_| is_end) {
+            // With the last bytes, the caller would have the length announced.
+            return self.on_connection_lost(detail.to_owned(), ConnectionLoss::Closed);
         }
-        let Some(resumer) = &mut self.resumer else { return PollStep::Return(Some(Ok(frame))) };
-        let frame = match frame.into_data() {
-            Ok(data) => data,
-            Err(other) => return PollStep::Return(Some(Ok(other))),
+        let next = match (&mut self.resumer, frame.into_data()) {
+            (Some(resumer), Ok(data)) => match resumer.events.push(&data) {
+                Some(complete) if complete.is_empty() => PollStep::Repeat,
+                Some(complete) => PollStep::Return(Some(Ok(Frame::data(complete)))),
+                None => {
+                    let detail = "the events do not continue the stream".to_owned();
+                    return self.on_server_lost(detail);
+                }
+            },
+            (None, Ok(data)) => PollStep::Return(Some(Ok(Frame::data(data)))),
+            (_, Err(other)) => PollStep::Return(Some(Ok(other))),
         };
-        match resumer.events.push(&frame) {
-            Some(complete) if complete.is_empty() => PollStep::Repeat,
-            Some(complete) => PollStep::Return(Some(Ok(Frame::data(complete)))),
-            None => self.on_server_lost("the events do not continue the stream".to_owned()),
+        if is_end {
+            self.record_body_end();
+            self.end_complete();
         }
+        next
     }
 
     /// Handles the end of the server's body, which may have broken off a stream.
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -32,16 +32,20 @@
         CallerIo { stream, reset_on_end, is_reset_set: false }
     }
 
-    /// Passes the flag on to the kernel: with a linger time of 0, it resets what it closes.
-    fn sync_reset(&mut self) -> Result<()> {
-        let reset_on_end = self.reset_on_end.get();
-        if reset_on_end != self.is_reset_set {
-            let linger = reset_on_end.then_some(Duration::ZERO);
+    /// Lets the kernel reset the connection when it closes, by a linger time of 0.
+    fn set_reset(&mut self, is_set: bool) -> Result<()> {
+        if is_set != self.is_reset_set {
+            let linger = is_set.then_some(Duration::ZERO);
             SockRef::from(&self.stream).set_linger(linger)?;
-            self.is_reset_set = reset_on_end;
+            self.is_reset_set = is_set;
         }
         Ok(())
     }
+
+    fn set_reset_if_needed(&mut self) -> Result<()> {
+        // The flag is cleared only at the shutdown: before it, the last bytes may be unsent.
+        if self.reset_on_end.get() { self.set_reset(true) } else { Ok(()) }
+    }
 }
 
 impl AsyncRead for CallerIo {
@@ -60,7 +64,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        self.sync_reset()?;
+        self.set_reset_if_needed()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -69,7 +73,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.sync_reset()?;
+        self.set_reset_if_needed()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -82,11 +86,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        self.sync_reset()?;
-        if self.is_reset_set {
+        if self.reset_on_end.get() {
             // A shutdown would end the connection in order; closing it resets it.
             return Poll::Ready(Ok(()));
         }
+        self.set_reset(false)?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
