Check that a server still runs when its connection ends a stream between two events

The kernel of a crashed process ends the connection in order, like the server after a whole answer; what differs is that nothing listens at its address any more.

So before such an end is passed on, one connection is opened to the server. If it is refused or not answered within the connect timeout, the stream has been broken off. A server that is known to leave isn't asked, since it exits after its last stream. Streams with a framing of their own, nearly all, are not concerned; the caller has every event meanwhile, and waits a round trip for the end.

What remains: a server that is back within that round trip, and one whose worker alone crashes.

Test: broken_off_streams a_stream_whose_server_crashes_between_events failed before, passes; close_delimited and crashing_requests pass.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -4,7 +4,8 @@
 use std::task::{Context, Poll};
 
 use guavaspread_fleet::{
-    AttemptOutcome, ConnectionLoss, EventScanner, PlacementKey, PromptParts, Server, StreamPosition,
+    AttemptOutcome, Availability, ConnectionLoss, EventScanner, PlacementKey, PromptParts, Server,
+    StreamPosition,
 };
 use guavaspread_model::ContentId;
 use http::header;
@@ -14,7 +15,7 @@
 
 use crate::access::AdapterHold;
 use crate::caller_io::ResetOnEnd;
-use crate::connection_pool::{Framing, ResponseBody, ServerResponse, is_timeout};
+use crate::connection_pool::{Framing, ResponseBody, ServerResponse, connect, is_timeout};
 use crate::prelude::*;
 use crate::record::Record;
 use crate::resume::{ResumeFuture, Resumed, Resumer};
@@ -63,11 +64,16 @@
 enum Source {
     /// The body of a server's response.
     Server(ResponseBody),
+    /// The connection ended between two events; whether the server still runs is being checked.
+    Confirming(EndCheck),
     /// The stream is being resumed on another server.
     Resuming(ResumeFuture),
     Ended,
 }
 
+/// Returns whether the server still accepts connections.
+type EndCheck = Pin<Box<dyn Future<Output = bool>>>;
+
 /// Error that aborts a body, so that the caller does not take it for complete.
 #[derive(Debug)]
 pub(crate) struct IncompleteResponse;
@@ -172,6 +178,14 @@
                     }
                     Poll::Pending => PollStep::Wait,
                 },
+                Source::Confirming(check) => match check.as_mut().poll(cx) {
+                    Poll::Ready(true) => self.on_confirmed_end(),
+                    Poll::Ready(false) => {
+                        let detail = "the server is gone since it ended the stream".to_owned();
+                        self.on_connection_lost(detail, ConnectionLoss::Closed)
+                    }
+                    Poll::Pending => PollStep::Wait,
+                },
                 Source::Resuming(resuming) => match resuming.as_mut().poll(cx) {
                     Poll::Ready(resumed) => self.on_resumed(resumed),
                     Poll::Pending => PollStep::Wait,
@@ -228,6 +242,28 @@
             return self.on_connection_lost(detail.to_owned(), ConnectionLoss::Closed);
         }
         self.record_body_end();
+        if let Some(check) = self.end_check() {
+            self.source = Source::Confirming(check);
+            return PollStep::Repeat;
+        }
+        self.on_confirmed_end()
+    }
+
+    /// Returns the check of a stream that ended between two events with its connection, as it also
+    /// does when its server crashes.
+    fn end_check(&self) -> Option<EndCheck> {
+        let is_unframed = self.framing() == Some(Framing::Close) && self.position().is_some();
+        let InFlight { entry, run, .. } = self.in_flight.as_ref().filter(|_| is_unframed)?;
+        let server = &run.as_ref()?.server;
+        // A server that leaves exits after its last stream.
+        let server_list = entry.server_list.borrow();
+        let known = server_list.get(&server.id).filter(|known| known.is_same_process(server))?;
+        let is_leaving = entry.availability(known) == Availability::Draining;
+        let address = server.address;
+        (!is_leaving).then(|| Box::pin(async move { connect(address).await.is_ok() }) as EndCheck)
+    }
+
+    fn on_confirmed_end(&mut self) -> PollStep {
         self.end_complete();
         self.source = Source::Ended;
         let rest = self.resumer.as_mut().map(|resumer| resumer.events.finish());
@@ -307,7 +343,7 @@
     fn framing(&self) -> Option<Framing> {
         match &self.source {
             Source::Server(body) => Some(body.framing()),
-            Source::Resuming(_) | Source::Ended => None,
+            Source::Confirming(_) | Source::Resuming(_) | Source::Ended => None,
         }
     }
 
@@ -353,7 +389,7 @@
         match &self.source {
             // With a resumer, the rest of an incomplete event may still follow.
             Source::Server(body) => self.resumer.is_none() && body.is_end_stream(),
-            Source::Resuming(_) => false,
+            Source::Confirming(_) | Source::Resuming(_) => false,
             Source::Ended => true,
         }
     }
--- a/crates/fleet/src/server_list.rs
+++ b/crates/fleet/src/server_list.rs
@@ -88,6 +88,11 @@
 }
 
 impl Server {
+    /// Returns whether both are the same incarnation of the same server.
+    pub fn is_same_process(&self, other: &Server) -> bool {
+        self.id == other.id && self.started_at_ms == other.started_at_ms
+    }
+
     /// Returns whether the server runs this version of the software; servers of no known version
     /// count as one version with an empty name.
     pub fn runs(&self, software: &str) -> bool {
