Take an empty lease table for an old copy, unless the deployment starts for the first time

Nothing in the table tells a copy of that age from a new deployment; the platform's settings do, by whether the whole system starts for the first time.

Such a host now marks the start of the era with its first lease, so that it and all others wait until every lease of earlier eras has expired, as after any other return. A first start claims as before; a setting that is left out means a first start. Cost: a host that is restarted before the deployment has written any lease delays the first claims by 15 s.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -96,6 +96,7 @@
     };
     let mut leases = LeaseManager::new(holder.clone(), cfg.peer_address(), cfg.zone.clone(), times);
     leases.set_link_mbps(cfg.link_mbps as u32);
+    leases.set_first_start(cfg.first_start);
     Rc::new(EntryState {
         clock: Clock::start(),
         platform: platform.clients(cfg.store),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -41,6 +41,9 @@
     pub retry_share: f64,
     /// Retries to a service beyond that share, summed over all entry hosts.
     pub retry_slack: f64,
+    /// Whether the whole deployment starts for the first time.
+    #[serde(default = "default_first_start")]
+    pub first_start: bool,
     /// The bandwidth of the host's network link, in Mbit per second; 0 if unknown.
     #[serde(default)]
     pub link_mbps: f64,
@@ -56,6 +59,10 @@
 /// it stops.
 const GRACE_MAX_S: f64 = 86_400.0;
 
+fn default_first_start() -> bool {
+    true
+}
+
 fn default_log() -> Arc<str> {
     "info".into()
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -79,6 +79,10 @@
     era: Option<u64>,
     /// Whether the store came back from an older copy while this process ran.
     has_era_risen: bool,
+    /// Whether the whole deployment starts for the first time, so that an empty table is no copy.
+    is_first_start: bool,
+    /// Whether the table was empty at the first read, although the deployment has run before.
+    lacks_rows: bool,
     /// The start of the current era, if it is marked.
     era_start: Option<EraStart>,
     /// The revision of the mark of all eras; 0 if there is none.
@@ -156,6 +160,8 @@
             fences: BTreeMap::new(),
             era: None,
             has_era_risen: false,
+            is_first_start: true,
+            lacks_rows: false,
             era_start: None,
             era_mark: 0,
             ended_eras: Vec::new(),
@@ -179,6 +185,11 @@
         self.link_mbps = link_mbps;
     }
 
+    /// Sets whether the whole deployment starts for the first time.
+    pub fn set_first_start(&mut self, is_first_start: bool) {
+        self.is_first_start = is_first_start;
+    }
+
     /// Sets the existing engines, and whether each is in the host's zone.
     pub fn set_engines(&mut self, engines: BTreeMap<Arc<str>, bool>) {
         self.fences.retain(|engine, _| engines.contains_key(engine));
--- a/crates/fleet/src/lease/eras.rs
+++ b/crates/fleet/src/lease/eras.rs
@@ -8,6 +8,9 @@
 //! - Every other host waits until all leases of earlier eras have expired, by the time in the row
 //!   that marks the start of the era.
 //!
+//! A host that finds an empty table, although the deployment has run before, takes it for a copy from
+//! before the first lease.
+//!
 //! Each write is bound to its era, so that a delayed write of an earlier era fails.
 
 use super::{CLAIMS_PER_WRITE_MAX, COMMAND_MARGIN_MS, EraCondition, LeaseManager, NewEra};
@@ -125,6 +128,7 @@
         let is_restored = |era: u64| era < self.era();
         self.era_start.is_none()
             && (self.has_era_risen
+                || self.lacks_rows
                 || self.era_mark > 0
                 || self.hosts.values().any(|row| is_restored(row.era))
                 || self.claims.values().any(|row| is_restored(row.era)))
--- a/crates/fleet/src/lease/reads.rs
+++ b/crates/fleet/src/lease/reads.rs
@@ -21,6 +21,10 @@
             return;
         }
         self.set_store_clock(table.store_time_ms, sent_at, now);
+        if self.revision.is_none() && self.own_lease.is_none() {
+            let is_empty = table.hosts.is_empty() && table.claims.is_empty();
+            self.lacks_rows |= is_empty && !self.is_first_start;
+        }
         if is_complete {
             self.forget_rows();
         }
--- a/crates/fleet/tests/lease_era_faults.rs
+++ b/crates/fleet/tests/lease_era_faults.rs
@@ -29,7 +29,8 @@
 
 impl Host {
     fn new(name: &str, era: u64) -> Self {
-        let manager = manager(name, &["i-1", "i-2"]);
+        let mut manager = manager(name, &["i-1", "i-2"]);
+        manager.set_first_start(era == 1);
         Host { manager, era, reads: 0, conflicts: 0 }
     }
 
