--- a/crates/entry/src/stream_versions.rs
+++ b/crates/entry/src/stream_versions.rs
@@ -2,7 +2,7 @@
 //!
 //! A host knows the version of a stream that it served itself, of any other stream if all streams of
 //! the service began at one version (see [`VersionHistory`]), and otherwise asks the other hosts.
-//! What nobody can tell is not continued.
+//! What nobody can tell is not continued. A store that does not respond delays no request for long.
 
 use std::net::SocketAddr;
 
@@ -29,6 +29,10 @@
 /// Hosts that are asked for the version of a stream; those of the own zone come first, as a caller's
 /// tries reach them first.
 const ASKED_HOSTS_MAX: usize = 64;
+/// How long a request waits for the versions to be read again; a slow store takes 240 ms.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long requests do without a store that failed a call for one of them.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a request waits for a process that has just started to read the versions.
 const START_TIMEOUT: Duration = Duration::from_millis(150);
 const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -58,9 +62,9 @@
     counts: RefCell<HashMap<Arc<str>, Rc<VersionCounts>>>,
     /// The store's clock in its last response, in milliseconds, and when that arrived.
     store_clock: Cell<Option<(u64, Duration)>>,
-    /// Held while this host writes.
-    writing: tokio::sync::Mutex<()>,
-    /// Held while this host reads for a request; holds when the last such read was sent.
+    /// Held while this host writes; the earliest time of the next write.
+    writing: tokio::sync::Mutex<Duration>,
+    /// Held while this host reads for a request. Requests that arrived earlier need no other read.
     reading: tokio::sync::Mutex<Duration>,
 }
 
@@ -202,26 +206,48 @@
         Some(StreamVersionRow { service: service.clone(), history, revision: stored.revision })
     }
 
-    /// Returns the version at which streams of the service begin, after a change that is due.
+    /// Returns the version at which streams of the service begin. Changes it first if it has no server,
+    /// as nothing could begin; other changes don't delay requests.
     async fn current_version(self: &Rc<Self>, service: &Arc<str>) -> Option<Arc<str>> {
+        let current = self.known_version(service);
+        if current.as_ref().is_some_and(|current| self.has_version(service, current)) {
+            return current;
+        }
+        self.change_version(service).await;
+        let counts = self.version_counts(service);
+        match self.known_version(service) {
+            Some(current) => Some(current).filter(|current| counts.contains_key(current)),
+            // The store has not taken the first one yet; other hosts choose the same.
+            None => counts.keys().next().filter(|_| counts.len() == 1).cloned(),
+        }
+    }
+
+    fn known_version(&self, service: &str) -> Option<Arc<str>> {
+        let services = self.stream_versions.services.borrow();
+        services.get(service)?.history.current().cloned()
+    }
+
+    /// Returns whether an available server of the service runs this version.
+    fn has_version(&self, service: &Arc<str>, software: &str) -> bool {
+        self.version_counts(service).contains_key(software)
+    }
+
+    /// Writes the change of a service's current version that is due, if any.
+    async fn change_version(self: &Rc<Self>, service: &Arc<str>) {
         for _ in 0..WRITE_ATTEMPTS_MAX {
             if self.due_row(service).is_none() {
-                break;
+                return;
             }
-            let _writing = self.stream_versions.writing.lock().await;
-            // Another request may have written it meanwhile.
-            let Some(row) = self.due_row(service) else { break };
+            let mut next_write_at = self.stream_versions.writing.lock().await;
+            // Another request may have written the change meanwhile, or failed to.
+            let row = self.due_row(service).filter(|_| self.clock.now() >= *next_write_at);
+            let Some(row) = row else { return };
             if let Err(e) = self.write_versions(row).await {
                 log::warn!("the version of {service}'s streams was not written, will retry: {e}");
-                break;
+                *next_write_at = self.clock.now() + STORE_RETRY_INTERVAL;
+                return;
             }
         }
-        let counts = self.version_counts(service);
-        let services = self.stream_versions.services.borrow();
-        match services.get(service).and_then(|stored| stored.history.current()) {
-            Some(current) => Some(current.clone()).filter(|current| counts.contains_key(current)),
-            None => counts.keys().next().filter(|_| counts.len() == 1).cloned(),
-        }
     }
 
     async fn write_versions(self: &Rc<Self>, row: StreamVersionRow) -> Result<(), StoreError> {
@@ -246,18 +272,21 @@
     /// A host that has not learned yet that streams begin at another version would take a stream of
     /// that version for one of the previous version.
     async fn refresh_versions(self: &Rc<Self>, since: Duration) {
-        let mut last_sent_at = self.stream_versions.reading.lock().await;
-        if *last_sent_at >= since {
+        let mut valid_for = self.stream_versions.reading.lock().await;
+        if *valid_for >= since {
             return;
         }
-        let sent_at = self.clock.now();
-        match self.platform.store.snapshot(Feed::StreamVersions).await {
-            Ok(batch) => {
-                *last_sent_at = sent_at;
+        *valid_for = self.clock.now();
+        let read = self.platform.store.snapshot(Feed::StreamVersions);
+        match tokio::time::timeout(REFRESH_TIMEOUT, read).await {
+            Ok(Ok(batch)) => {
                 apply_batch(self, Feed::StreamVersions, batch, true, self.clock.now());
             }
             // While the store serves nobody, streams begin at the version last read.
-            Err(e) => log::warn!("reading the streams' versions failed, using those known: {e}"),
+            Ok(Err(_)) | Err(_) => {
+                log::warn!("the streams' versions can't be read again, using those known");
+                *valid_for = self.clock.now() + STORE_RETRY_INTERVAL;
+            }
         }
     }
 
@@ -305,7 +334,7 @@
             return current.map(Some).ok_or_else(no_stream_version);
         }
         let software = self.first_software(arrived_at).await.ok_or_else(stream_version_unknown)?;
-        match self.entry.version_counts(&self.service).contains_key(&software) {
+        match self.entry.has_version(&self.service, &software) {
             true => Ok(Some(software)),
             false => Err(stream_version_gone()),
         }
@@ -362,7 +391,7 @@
         let Some(catalog) = entry.catalog.borrow().clone() else { continue };
         for service in catalog.services() {
             if catalog.stream_age_max(&service.name).is_some() {
-                entry.current_version(&service.name).await;
+                entry.change_version(&service.name).await;
             }
         }
     }
