Read the list of hosts at intervals only where no delegate tells their number

Zones with delegates learn the number with each renewal, as retry_budget shows (28 hosts of one zone; passes).

--- a/crates/entry/src/lease_renewal.rs
+++ b/crates/entry/src/lease_renewal.rs
@@ -36,6 +36,13 @@
     }
 }
 
+/// Returns whether the zone has hosts that renew the leases of others.
+pub(crate) fn has_delegate(entry: &EntryState) -> bool {
+    let zone = entry.cfg.borrow().zone.clone();
+    let leases = entry.leases.borrow();
+    !zone_watchers(&zone, leases.live_hosts(entry.clock.now())).is_empty()
+}
+
 /// Writes leases and claims.
 ///
 /// Sends a plain renewal to a delegate of the zone. Writes to the store directly for any other
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -17,7 +17,7 @@
 /// no load on a store that is unreachable, so the delay does not grow in this case.
 const STORE_RETRY_INTERVAL_MAX: Duration = Duration::from_millis(1_200);
 
-/// The longest interval between reads of the list of hosts while this host writes its own lease.
+/// The longest interval between reads of the list of hosts in a zone without delegates.
 const HOSTS_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// How old the list of hosts may be when hosts have to agree on a coordinator or inform each other.
 const HOSTS_TTL: Duration = Duration::from_secs(3);
@@ -168,6 +168,7 @@
         match next {
             LeaseAction::Read(after) => read_leases(&entry, after).await,
             LeaseAction::Write(write) => {
+                let has_delegate = lease_renewal::has_delegate(&entry);
                 let result = lease_renewal::write_leases(&entry, &write).await;
                 let is_written = matches!(result, Ok(WriteOutcome::Done { .. }));
                 on_lease_write(&entry, write, result, now);
@@ -177,11 +178,15 @@
                     // hosts may start.
                     let after = entry.leases.borrow().revision();
                     read_leases(&entry, after).await;
-                } else if is_written && now >= entry.leases.borrow().read_at() + HOSTS_READ_INTERVAL
-                {
-                    // Without a delegate, nothing else tells of the hosts that have started since.
-                    let after = entry.leases.borrow().revision();
-                    read_leases(&entry, after).await;
+                } else if is_written && !has_delegate {
+                    // Nothing else tells of the hosts that have started since.
+                    let (read_at, after) = {
+                        let leases = entry.leases.borrow();
+                        (leases.read_at(), leases.revision())
+                    };
+                    if now >= read_at + HOSTS_READ_INTERVAL {
+                        read_leases(&entry, after).await;
+                    }
                 }
             }
             LeaseAction::Wait(at) => {
