Forget the events of a server that was rejected as the next one

Now events are recorded only if they follow. Tests: event_framer, 3 of 4 new cases failed before, all pass; next_server_fails, resume, software_versions pass.

--- a/crates/fleet/src/event_framer.rs
+++ b/crates/fleet/src/event_framer.rs
@@ -24,7 +24,7 @@
 }
 
 /// Checks that the events of the next server follow those of the previous one.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct EventOrder {
     last: Option<u64>,
     /// Whether each id was by one greater than the one before; `None` until two are known.
@@ -107,18 +107,28 @@
         self.last_id.as_deref()
     }
 
-    /// Records complete events; returns whether they follow the previous ones.
+    /// Records complete events if they follow the previous ones; returns whether they do.
     fn record_events(&mut self, events: &[u8]) -> bool {
-        self.has_events |= self.scanner.has_events();
+        let (mut order, mut last_id) = (self.order, None);
         for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             if let Some(id) = line.strip_prefix(ID_FIELD) {
-                self.last_id = std::str::from_utf8(id).ok().map(|id| id.trim().to_owned());
-                if !self.order.on_id(self.last_id.as_deref().unwrap_or_default()) {
+                let id = std::str::from_utf8(id).unwrap_or_default().trim();
+                if !order.on_id(id) {
                     return false;
                 }
+                last_id = Some(id);
             }
         }
-        // An event without an id does not tell where it belongs.
-        !self.order.is_resuming || !self.scanner.has_events()
+        let has_events = self.scanner.has_events();
+        if order.is_resuming && has_events {
+            // An event without an id does not tell where it belongs.
+            return false;
+        }
+        self.order = order;
+        self.has_events |= has_events;
+        if let Some(id) = last_id {
+            self.last_id = Some(id.to_owned()).filter(|id| !id.is_empty());
+        }
+        true
     }
 }
--- a/crates/fleet/tests/event_framer.rs
+++ b/crates/fleet/tests/event_framer.rs
@@ -50,6 +50,30 @@
     }
 }
 
+#[test_case("id: 1\ndata: again\n\n"; "an event that was forwarded")]
+#[test_case("id: 4\ndata: later\n\n"; "an event after a gap")]
+#[test_case("data: three\n\n"; "an event without an id")]
+fn a_stream_continues_after_its_last_event_when_a_server_was_rejected(rejected: &'static str) {
+    let mut framer = EventFramer::default();
+    let events = event(1, "\n") + &event(2, "\n");
+    assert_eq!(framer.push(&events.clone().into()), Some(events.into()));
+    framer.discard_partial();
+    assert_eq!(framer.push(&Bytes::from_static(rejected.as_bytes())), None);
+    framer.discard_partial();
+    assert_eq!((framer.can_resume(), framer.last_id()), (true, Some("2")));
+    let next = Bytes::from(event(3, "\n"));
+    assert_eq!(framer.push(&next), Some(next));
+}
+
+#[test]
+fn a_rejected_server_leaves_a_stream_of_a_caller_resumable() {
+    let mut framer = EventFramer::after(Some("2"));
+    assert_eq!(framer.push(&event(1, "\n").into()), None);
+    framer.discard_partial();
+    assert!(framer.can_resume() && framer.last_id().is_none());
+    assert!(framer.push(&event(3, "\n").into()).is_some());
+}
+
 #[test]
 fn a_stream_without_ids_is_not_resumable() {
     let mut framer = EventFramer::default();
