--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -30,6 +30,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Idle connections kept for each server.
 const IDLE_CONNECTIONS_PER_SERVER_MAX: usize = 16;
+/// Named refusals after which a connection is closed; it remembers the ids of the requests.
+const REFUSALS_PER_CONNECTION_MAX: usize = 32;
 /// How long sent bytes may stay unacknowledged before the kernel closes a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
@@ -72,8 +74,9 @@
     read_budget: ReadBudget,
     _connection_task: AbortOnDrop,
     idle_until: Duration,
-    /// Whether the server refused a request on the connection and named it.
-    has_named_refusal: bool,
+    /// The requests that the server refused on the connection and named. It may send each refusal
+    /// once more.
+    refused: Vec<Arc<str>>,
 }
 
 /// Sets the socket options that detect an unreachable peer, and disables Nagle's algorithm.
@@ -126,7 +129,7 @@
             read_budget,
             _connection_task: AbortOnDrop(driver),
             idle_until: Duration::ZERO,
-            has_named_refusal: false,
+            refused: Vec::new(),
         })
     }
 
@@ -189,16 +192,20 @@
 }
 
 impl ServerResponse {
-    /// Records that the server refused the request and named it in the response.
-    pub(crate) fn set_named_refusal(&mut self) {
-        if let Some(connection) = &mut self.body.connection {
-            connection.has_named_refusal = true;
+    /// Records that the server refused the request with this id and named it in the response.
+    ///
+    /// Closes the connection after [`REFUSALS_PER_CONNECTION_MAX`] of them.
+    pub(crate) fn on_named_refusal(mut self, id: &Arc<str>) {
+        let Some(connection) = &mut self.body.connection else { return };
+        connection.refused.push(id.clone());
+        if connection.refused.len() >= REFUSALS_PER_CONNECTION_MAX {
+            self.close();
         }
     }
 
     /// Returns whether the server refused an earlier request on the connection and named it.
     pub(crate) fn follows_named_refusal(&self) -> bool {
-        self.body.connection.as_ref().is_some_and(|connection| connection.has_named_refusal)
+        self.body.connection.as_ref().is_some_and(|connection| !connection.refused.is_empty())
     }
 
     /// Closes the connection, on which the server may still send what belongs to this request.
@@ -210,7 +217,9 @@
 impl ConnectionPool {
     /// Sends a request and waits for the head of the response.
     ///
-    /// An idle connection is reused only if it was opened for the same address and `server_id`.
+    /// An idle connection is reused only if it was opened for the same address and `server_id`, and
+    /// if the server refused no request with this id on it: a copy of the refusal would be read as
+    /// the response. The id is empty for a call that has none.
     ///
     /// # Errors
     ///
@@ -220,10 +229,12 @@
         self: &Rc<Self>,
         address: SocketAddr,
         server_id: &Arc<str>,
+        request_id: &str,
         req: Request<Full<Bytes>>,
         clock: Clock,
     ) -> Result<ServerResponse, SendError> {
-        let mut connection = match self.take_idle(address, server_id, clock.now()) {
+        let idle = self.take_idle((address, server_id.clone()), request_id, clock.now());
+        let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(address).await?,
         };
@@ -259,7 +270,7 @@
         bytes_max: usize,
     ) -> Result<(http::response::Parts, Bytes), SendError> {
         let call = async {
-            let response = self.send(address, server_id, req, clock).await?;
+            let response = self.send(address, server_id, "", req, clock).await?;
             let body = Limited::new(response.body, bytes_max).collect().await;
             let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
             Ok((response.head, body.to_bytes()))
@@ -283,21 +294,17 @@
         });
     }
 
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        server_id: &Arc<str>,
-        now: Duration,
-    ) -> Option<Connection> {
+    fn take_idle(&self, key: ServerKey, request_id: &str, now: Duration) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&(address, server_id.clone()))?;
+        let connections = idle.get_mut(&key)?;
+        connections
+            .retain(|connection| connection.idle_until > now && connection.sender.is_ready());
         // The server is least likely to have closed the most recently used connection.
-        while let Some(connection) = connections.pop() {
-            if connection.idle_until > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        let has_refused = |connection: &Connection| {
+            connection.refused.iter().any(|refused| **refused == *request_id)
+        };
+        let index = connections.iter().rposition(|connection| !has_refused(connection))?;
+        Some(connections.remove(index))
     }
 
     fn put_idle(&self, pool_slot: &PoolSlot, mut connection: Connection) {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -46,7 +46,8 @@
             log::warn!("request {id} is sent to server {}, which accepts none", server.id);
         }
         let req = self.build_request(server, version, remaining);
-        let send = self.entry.pool.send(server.address, &server.id, req, self.entry.clock);
+        let send =
+            self.entry.pool.send(server.address, &server.id, &self.info.id, req, self.entry.clock);
         let sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send).await;
         let now = self.entry.clock.now();
         let is_not_sent = matches!(&sent, Ok(Err(SendError::NotSent(_))));
@@ -170,7 +171,7 @@
         &self,
         key: PlacementKey,
         server: &Arc<Server>,
-        mut response: ServerResponse,
+        response: ServerResponse,
         response_info: &ResponseInfo,
         record: &mut Record,
     ) -> Attempt {
@@ -196,7 +197,7 @@
             }
             Some(_) | None => {
                 match response_info.id {
-                    Some(_) => response.set_named_refusal(),
+                    Some(_) => response.on_named_refusal(&self.info.id),
                     // Nothing would tell a late copy from the response to the next request.
                     None => response.close(),
                 }
