--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -142,6 +142,7 @@
                 AttemptOutcome::NotRun(refusal) => refusal,
                 AttemptOutcome::MaybeRan(refusal) => self.on_maybe_ran(refusal).await?,
             };
+            self.log_failure(&chosen, &last);
             self.worker.on_attempt_failed(&chosen);
         }
         Err(last)
@@ -221,6 +222,15 @@
         }
     }
 
+    fn log_failure(&self, chosen: &ChosenEngine, refusal: &Refusal) {
+        log::debug!(
+            "request {:016x} failed on {} after {} events, retrying if allowed: {refusal}",
+            self.command.id,
+            chosen.host,
+            self.delivered_events
+        );
+    }
+
     /// Counts a crash and returns the refusal as `Ok` if the request can be retried.
     async fn on_maybe_ran(&mut self, refusal: Refusal) -> Result<Refusal, Refusal> {
         if refusal.code == Code::BackendCrashed {
@@ -248,6 +258,7 @@
                 return (Ok(event), Some((self, rx)));
             }
         };
+        self.log_failure(&rx.chosen, &refusal);
         self.worker.on_attempt_failed(&rx.chosen);
         drop(rx);
         match self.resume(refusal).await {
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::io::Write;
 use std::path::Path;
 
 use guavaspread_scenario::{Script, run};
@@ -32,6 +33,8 @@
     let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
     let text = std::fs::read_to_string(dir.join(format!("{name}.scenario"))).unwrap();
     if let Err(e) = run(&Script::parse(&text).unwrap()) {
+        // Beside the daemons' lines, with their time; the test's own output comes at the end.
+        let _ = writeln!(std::io::stderr(), "scenario {name} failed: {e:#}");
         unreachable!("{name}: {e:#}");
     }
 }
