--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -48,6 +48,8 @@
     attempt_count: usize,
     /// Whether the last attempt reached a backend server, so that the next one counts as a retry.
     reached_backend: bool,
+    /// The refusal of the last attempt that may have run.
+    may_have_run: Option<Refusal>,
     /// Since when no engine has been reachable.
     unreachable_since: Option<Duration>,
     /// Number of stream events delivered to the caller.
@@ -98,6 +100,7 @@
             tried_engines: Vec::new(),
             attempt_count: 0,
             reached_backend: false,
+            may_have_run: None,
             unreachable_since: None,
             delivered_events: 0,
         }
@@ -114,7 +117,12 @@
         Ok(RunResponse { status, content_type, events: Box::pin(events) })
     }
 
-    async fn try_engines(&mut self, mut last: Refusal) -> Result<Started, Refusal> {
+    async fn try_engines(&mut self, last: Refusal) -> Result<Started, Refusal> {
+        let started = self.try_each_engine(last).await;
+        started.map_err(|last| final_refusal(last, self.may_have_run.take()))
+    }
+
+    async fn try_each_engine(&mut self, mut last: Refusal) -> Result<Started, Refusal> {
         while self.attempt_count < ATTEMPTS_MAX {
             let Some(chosen) = self.choose_engine(&last) else {
                 if !is_transient(&last) || self.has_wait_expired() {
@@ -125,7 +133,7 @@
             };
             if std::mem::take(&mut self.reached_backend) && !self.worker.try_spend_retry() {
                 self.worker.on_attempt_ended(chosen.key);
-                return Err(retry_budget_refusal(last));
+                return Err(retry_budget_refusal(&last));
             }
             self.tried_engines.push(chosen.key);
             let outcome = self.run_attempt(&chosen).await;
@@ -240,6 +248,7 @@
             }
         }
         let deadline_passed = refusal.code == Code::DeadlinePassed;
+        self.may_have_run = Some(refusal.clone());
         match self.command.repeatable && !deadline_passed {
             true => Ok(refusal),
             false => Err(refusal),
@@ -346,12 +355,19 @@
         .with_retry_after_ms(1_000)
 }
 
-/// Returns the refusal for an exhausted retry budget, or that of the last attempt if the request may
-/// have run: the status of the former promises that it did not.
-fn retry_budget_refusal(last: Refusal) -> Refusal {
-    if last.ran != Ran::No {
-        return last;
+/// Returns the refusal of a request whose last attempt failed with `last`: no status may promise
+/// that it did not run if an earlier attempt may have run it.
+pub(crate) fn final_refusal(last: Refusal, may_have_run: Option<Refusal>) -> Refusal {
+    match may_have_run {
+        Some(refusal) if last.ran == Ran::No => {
+            let detail = format!("{}; its retry failed: {last}", refusal.detail);
+            Refusal { detail, ..refusal }
+        }
+        Some(_) | None => last,
     }
+}
+
+fn retry_budget_refusal(last: &Refusal) -> Refusal {
     let detail = format!("the retry budget is spent; the last attempt failed with {last}");
     Refusal::not_run(Code::RetryBudgetSpent, detail).with_retry_after_ms(1_000)
 }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -14,7 +14,7 @@
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 
-use crate::attempt::{REFUSAL_STATUSES, RunResponse};
+use crate::attempt::{REFUSAL_STATUSES, RunResponse, final_refusal};
 use crate::completion::{authenticate, current_config, header_text, read_body, respond};
 use crate::delivery::{Delivery, replay_stored};
 use crate::idempotency::{IdempotencyKey, ResponseSource, run_at_most_once};
@@ -149,6 +149,18 @@
     worker: &Rc<Worker>,
     call: ServiceCall,
     deadline: Duration,
+) -> Result<RunResponse, Refusal> {
+    let mut may_have_run = None;
+    let response = try_servers(worker, call, deadline, &mut may_have_run).await;
+    response.map_err(|last| final_refusal(last, may_have_run))
+}
+
+/// Tries one server after another; keeps the refusal of the last attempt that may have run.
+async fn try_servers(
+    worker: &Rc<Worker>,
+    call: ServiceCall,
+    deadline: Duration,
+    may_have_run: &mut Option<Refusal>,
 ) -> Result<RunResponse, Refusal> {
     worker.count_first_attempt();
     let mut tried_servers = Vec::new();
@@ -165,7 +177,10 @@
         let refusal = match run_attempt(worker, &call, &host, address, deadline).await {
             AttemptOutcome::Started(response) => return Ok(response),
             AttemptOutcome::NotRun(refusal) => refusal,
-            AttemptOutcome::MaybeRan(refusal) if call.class.repeatable => refusal,
+            AttemptOutcome::MaybeRan(refusal) if call.class.repeatable => {
+                *may_have_run = Some(refusal.clone());
+                refusal
+            }
             AttemptOutcome::MaybeRan(refusal) => return Err(refusal),
         };
         tried_servers.push(host);
--- a/crates/scenario/tests/closed_connections.rs
+++ b/crates/scenario/tests/closed_connections.rs
@@ -13,7 +13,7 @@
 use guavaspread_scenario::{
     Fleet, FleetSpec, INTAKE_ADAPTER, KITA_KEY, Reply, declare_sample, read_json,
 };
-use guavaspread_standins::EngineEventKind;
+use guavaspread_standins::{EngineEventKind, Faults, free_address};
 use serde_json::{Value, json};
 
 const SERVER_COUNT: usize = 3;
@@ -55,6 +55,20 @@
     address
 }
 
+/// Lists servers of the booking service at these addresses.
+fn add_servers(fleet: &mut Fleet, addresses: &[SocketAddr]) {
+    for (index, address) in addresses.iter().enumerate() {
+        fleet.hosts.push(Host {
+            name: Name::new(&format!("sapporo-booking-{index}")).unwrap(),
+            zone: Name::new("sapporo").unwrap(),
+            address: *address,
+            kind: HostKind::Service(Name::new("booking").unwrap()),
+            state: HostState::Live,
+        });
+    }
+    fleet.platform.set_hosts(fleet.hosts.clone());
+}
+
 #[test]
 fn request_whose_server_closed_the_connection_runs_once_and_is_not_refused() {
     check_failed_runs("");
@@ -122,21 +136,43 @@
     }
 }
 
+/// The first attempt may have run, though the last one did not.
+#[test]
+fn request_that_may_have_run_is_not_refused_when_its_retry_does_not_run() {
+    let mut fleet = Fleet::start(&FleetSpec::default()).unwrap();
+    declare_sample(&fleet).unwrap();
+    let caller = fleet.caller(&fleet.entry_host_name(0).unwrap(), KITA_KEY).unwrap();
+    let chat = |fault: &str| {
+        let body = json!({
+            "model": INTAKE_ADAPTER, "messages": [{"role": "user", "content": "hello"}],
+            "max_tokens": 5, "user": fault,
+        });
+        read_json(caller.post("/v1/chat/completions").json(&body).send().unwrap()).unwrap()
+    };
+    assert_eq!(chat("").status, 200);
+    fleet.platform.set_faults(Faults { loads_fail: true, ..Faults::default() });
+    // The engine loses its adapters in the crash.
+    let reply = chat("standin:crash=2");
+    assert_eq!((reply.status, reply.ran()), (502, "maybe"), "{reply:?}");
+    let runs = Runs::default();
+    add_servers(&mut fleet, &[start_server(runs.clone(), ""), free_address().unwrap()]);
+    while runs.lock().unwrap().len() < REQUEST_COUNT {
+        let booking = format!("b{}", runs.lock().unwrap().len());
+        let body = json!({"booking": booking});
+        let reply =
+            read_json(caller.post("/services/booking/check").json(&body).send().unwrap()).unwrap();
+        let run_count = runs.lock().unwrap().get(&booking).copied();
+        assert!(run_count.is_none() || reply.ran() == "maybe", "{booking}: {reply:?}");
+    }
+}
+
 /// Sends requests to servers that begin each one and then respond with `response`.
 fn check_failed_runs(response: &'static str) {
     let mut fleet = Fleet::start(&FleetSpec::default()).unwrap();
     declare_sample(&fleet).unwrap();
     let runs = Runs::default();
-    for index in 0..SERVER_COUNT {
-        fleet.hosts.push(Host {
-            name: Name::new(&format!("sapporo-booking-{index}")).unwrap(),
-            zone: Name::new("sapporo").unwrap(),
-            address: start_server(runs.clone(), response),
-            kind: HostKind::Service(Name::new("booking").unwrap()),
-            state: HostState::Live,
-        });
-    }
-    fleet.platform.set_hosts(fleet.hosts.clone());
+    let addresses = [(); SERVER_COUNT].map(|()| start_server(runs.clone(), response));
+    add_servers(&mut fleet, &addresses);
     let caller = fleet.caller(&fleet.entry_host_name(0).unwrap(), KITA_KEY).unwrap();
     let confirm = |booking: &str| -> Reply {
         let body = json!({"booking": booking});
