--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -79,6 +79,10 @@
     pub(crate) rate_limited_refusals: Counter,
     pub(crate) sends_to_unavailable: Counter,
     pub(crate) store_restores: Counter,
+    /// Engines that were lost after a return of the store.
+    pub(crate) engines_lost: Counter,
+    /// Configurations that were read and are older than the one in force.
+    pub(crate) configs_outdated: Counter,
 }
 
 /// Creates a histogram with buckets from 2 ms to 16 s, each twice the one before.
@@ -117,6 +121,8 @@
             rate_limited_refusals: Counter::default(),
             sends_to_unavailable: Counter::default(),
             store_restores: Counter::default(),
+            engines_lost: Counter::default(),
+            configs_outdated: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
@@ -222,6 +228,16 @@
             "Requests sent to servers known to accept none",
             metrics.sends_to_unavailable.clone(),
         );
+        registry.register(
+            "engines_lost",
+            "Engines that this host lost after the store came back from an older copy",
+            metrics.engines_lost.clone(),
+        );
+        registry.register(
+            "configs_outdated",
+            "Configurations read that are older than the one in force",
+            metrics.configs_outdated.clone(),
+        );
         registry.register(
             "store_restores",
             "Returns of the store from an older copy that this host noticed",
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,7 +4,7 @@
 
 use guavaspread_fleet::{
     AdapterId, Availability, Catalog, CrashDetector, GrantCache, HostLease, LeaseManager,
-    LeaseTable, PermitIssuer, Placement, Quarantine, RetryShares, Server, ServerChange,
+    LeaseTable, LostEngine, PermitIssuer, Placement, Quarantine, RetryShares, Server, ServerChange,
     ServerCrash, ServerList, ServerNotice, revision_era,
 };
 use guavaspread_model::ContentId;
@@ -87,6 +87,13 @@
     pub(crate) fn on_catalog(self: &Rc<Self>, catalog: Catalog) {
         let known = self.catalog.borrow().as_ref().map(|catalog| catalog.version);
         if known.is_some_and(|known| known >= catalog.version) {
+            if known > Some(catalog.version) {
+                self.metrics.configs_outdated.inc();
+                log::info!(
+                    "configuration {} is older than {known:?}, which stays in force",
+                    catalog.version
+                );
+            }
             return;
         }
         log::info!("configuration {} is in force; previous version {known:?}", catalog.version);
@@ -125,7 +132,21 @@
     /// Applies a read of the leases, whose rows may tell of a later era than the store states.
     pub(crate) fn on_lease_table(&self, table: LeaseTable, is_complete: bool, sent_at: Duration) {
         self.on_store_era(table.latest_era());
-        self.leases.borrow_mut().on_read(table, is_complete, sent_at, self.clock.now());
+        let mut leases = self.leases.borrow_mut();
+        leases.on_read(table, is_complete, sent_at, self.clock.now());
+        for LostEngine { engine, fence, owner } in leases.take_lost_engines() {
+            self.metrics.engines_lost.inc();
+            match owner {
+                Some(owner) => log::warn!(
+                    "engine {engine}, owned with fence {fence} before the store came back, is now \
+                     owned by {owner}"
+                ),
+                None => log::warn!(
+                    "engine {engine}, owned with fence {fence} before the store came back, was not \
+                     claimed again before this host's lease expired"
+                ),
+            }
+        }
     }
 
     /// Records a newly registered version of an adapter.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -33,6 +33,7 @@
 };
 
 use self::eras::InheritedEngine;
+pub use self::eras::LostEngine;
 use crate::backoff::Backoff;
 use crate::prelude::*;
 use crate::revision::revision_era;
@@ -91,6 +92,8 @@
     ended_eras: Vec<u64>,
     /// Engines that this host owned in an earlier era and has not claimed in this one.
     inherited: BTreeMap<Arc<str>, InheritedEngine>,
+    /// Engines of earlier eras that were lost and not reported yet.
+    lost_engines: Vec<LostEngine>,
     /// The end of the lease in the last write, and when that was sent.
     last_write: Option<(u64, Duration)>,
     /// All engines; the value is whether the engine is in this host's zone.
@@ -166,6 +169,7 @@
             era_mark: 0,
             ended_eras: Vec::new(),
             inherited: BTreeMap::new(),
+            lost_engines: Vec::new(),
             last_write: None,
             engines: BTreeMap::new(),
             responded_at: BTreeMap::new(),
--- a/crates/fleet/src/lease/eras.rs
+++ b/crates/fleet/src/lease/eras.rs
@@ -34,6 +34,18 @@
     until: Duration,
 }
 
+/// An engine that this host lost after the store came back from an older copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostEngine {
+    /// The engine's id.
+    pub engine: Arc<str>,
+    /// The fencing number of the earlier era.
+    pub fence: u64,
+    /// The host that claimed the engine in the current era; `None` if this host's lease expired
+    /// before a claim of its own was written.
+    pub owner: Option<Arc<str>>,
+}
+
 impl LeaseManager {
     /// Returns the latest known era of the store; `None` before the first response.
     pub fn known_era(&self) -> Option<u64> {
@@ -88,13 +100,23 @@
     /// lease has expired.
     pub(super) fn drop_lost_engines(&mut self, now: Duration) {
         let (claims, host, era) = (&self.claims, &self.host, self.era.unwrap_or(0));
-        self.inherited.retain(|engine, inherited| {
-            let is_taken =
-                claims.get(engine).is_some_and(|row| row.era == era && row.holder != *host);
-            now < inherited.until && !is_taken
+        let lost_engines = &mut self.lost_engines;
+        self.inherited.retain(|engine, InheritedEngine { fence, until }| {
+            let claim = claims.get(engine).filter(|row| row.era == era && row.holder != *host);
+            let is_kept = now < *until && claim.is_none();
+            if !is_kept {
+                let owner = claim.map(|row| row.holder.clone());
+                lost_engines.push(LostEngine { engine: engine.clone(), fence: *fence, owner });
+            }
+            is_kept
         });
     }
 
+    /// Returns the engines of earlier eras that this host has lost since the last call.
+    pub fn take_lost_engines(&mut self) -> Vec<LostEngine> {
+        std::mem::take(&mut self.lost_engines)
+    }
+
     /// Returns the engines of earlier eras that this host still has to claim in this one.
     pub(super) fn unclaimed_inherited(&self, now: Duration) -> Vec<Arc<str>> {
         let valid = self.inherited.iter().filter(|(_, inherited)| now < inherited.until);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -73,7 +73,7 @@
 pub use grant_cache::{Grant, GrantCache};
 pub use lease::{
     Claim, EraCondition, EraStart, HostLease, LeaseAction, LeaseManager, LeaseSummary, LeaseTable,
-    LeaseTimes, LeaseWrite, NewEra,
+    LeaseTimes, LeaseWrite, LostEngine, NewEra,
 };
 pub use notices::{Availability, ServerNotice, ServerNotices};
 pub use permits::{
--- a/crates/fleet/tests/lease_era_faults.rs
+++ b/crates/fleet/tests/lease_era_faults.rs
@@ -142,6 +142,27 @@
     assert_eq!(overlap_ms, 0, "ms in which both send commands");
 }
 
+/// The owner is frozen while another host waits for its lease to expire and claims its engines.
+#[test]
+fn a_host_frozen_over_a_return_tells_which_engines_it_lost() {
+    let mut table = Table { revision: 100, ..Table::default() };
+    let mut owner = vec![Host::new("host-0", 1)];
+    play(&mut owner, &mut table, 50, 8_000);
+    let now = Duration::from_secs(8);
+    assert_eq!(owner[0].manager.owned_engines(now).len(), 2);
+    table = Table { revision: 100, ..Table::default() };
+    owner[0].era = 2;
+    owner[0].manager.on_era(2, now);
+    let mut other = vec![Host::new("host-1", 2)];
+    play(&mut other, &mut table, 8_000, 60_000);
+    play(&mut owner, &mut table, 60_000, 60_050);
+    let lost = owner[0].manager.take_lost_engines();
+    let lost: Vec<_> = lost.iter().map(|lost| (&*lost.engine, lost.owner.as_deref())).collect();
+    assert_eq!(lost, [("i-1", Some("host-1")), ("i-2", Some("host-1"))]);
+    assert_eq!(owner[0].manager.owned_engines(Duration::from_secs(60)), Vec::<_>::new());
+    assert_eq!(owner[0].manager.take_lost_engines(), []);
+}
+
 /// One engine has no owner when the store comes back.
 #[test]
 fn hosts_read_the_table_seldom_while_an_engine_waits() {
