--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -72,6 +72,8 @@
     Granted(Option<u64>, AdapterHold),
     /// The request may not be sent.
     Denied,
+    /// The engine's owner does not respond; an adapter may be loaded there after this time.
+    OwnerLost(Duration),
     /// The engine would have to fetch the adapter from the weight store.
     FetchRequired,
     /// The load takes longer than the request can wait; the caller may retry after this time.
@@ -129,7 +131,7 @@
             AdapterStatus::Loading | AdapterStatus::LoadTimedOut | AdapterStatus::Unavailable,
             _,
         )) => Access::Denied,
-        Some((AdapterStatus::NotOwner, _)) | None if was_refused => Access::Denied,
+        Some((AdapterStatus::NotOwner, _)) | None if was_refused => denied(entry, server),
         Some((AdapterStatus::NotOwner, _)) | None => {
             decide_without_owner(entry, server, id, version_min)
         }
@@ -159,9 +161,14 @@
         let (status, local) = entry.owned_engines.acquire_adapter(entry, &request, || ()).await;
         return Some((status, AdapterHold { local, remote: None }));
     }
-    let (status, remote) = entry.peers.request_adapter(address, request, entry.clock).await?;
+    let reply = entry.peers.request_adapter(address, request, entry.clock).await;
+    let Some((status, remote)) = reply else {
+        entry.leases.borrow_mut().on_peer_silent(&holder, entry.clock.now());
+        entry.leases_changed.notify_waiters();
+        return None;
+    };
     if status == AdapterStatus::NotOwner {
-        entry.leases.borrow_mut().mark_stale();
+        entry.leases.borrow_mut().on_not_owner(&holder);
         entry.leases_changed.notify_waiters();
     } else {
         entry.leases.borrow_mut().on_peer_response(&holder, entry.clock.now());
@@ -186,6 +193,12 @@
     let mut adapters = with_model.flat_map(|model| model.adapters.iter());
     match adapters.find(|a| a.name == id.adapter && a.version >= version_min) {
         Some(adapter) => Access::Granted(Some(adapter.version), AdapterHold::default()),
-        None => Access::Denied,
+        None => denied(entry, server),
     }
 }
+
+/// Denies access, with the time until an adapter may be loaded if the engine's owner is lost.
+fn denied(entry: &EntryState, server: &Server) -> Access {
+    let wait = entry.leases.borrow().load_wait(&server.id, entry.clock.now());
+    wait.map_or(Access::Denied, Access::OwnerLost)
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -107,6 +107,8 @@
     is_trial: bool,
     /// Full engines met so far.
     full_engines: u32,
+    /// The shortest time after which an engine whose owner is lost may load the adapter.
+    owner_lost: Option<Duration>,
     /// A server's own error response, which is more specific than one of this host.
     last_failure: Option<Box<ServerResponse>>,
 }
@@ -236,11 +238,7 @@
             Pick::Unavailable(available_at) => {
                 record.add(Step::NoServer);
                 let permit_at = without_permits.into_iter().map(|(_, until)| until).min();
-                return Selection::None(self.no_server(
-                    &progress.attempts,
-                    available_at,
-                    permit_at,
-                ));
+                return Selection::None(self.no_server(progress, available_at, permit_at));
             }
         };
         let permit = self.acquire_permit(&server, progress, record).await;
@@ -260,7 +258,13 @@
                 return Selection::None(engines_full(&progress.attempts));
             }
             Access::NotFound => return Selection::None(unknown_adapter(&progress.attempts)),
-            access @ (Access::Denied | Access::FetchRequired | Access::Full) => {
+            access @ (Access::Denied
+            | Access::OwnerLost(_)
+            | Access::FetchRequired
+            | Access::Full) => {
+                if let Access::OwnerLost(wait) = access {
+                    progress.owner_lost = Some(progress.owner_lost.map_or(wait, |w| w.min(wait)));
+                }
                 progress.full_engines += u32::from(matches!(access, Access::Full));
                 progress.exclude(&server);
                 progress.was_refused = false;
@@ -393,6 +397,7 @@
             let version = match &access {
                 Access::Granted(version, _) => *version,
                 Access::Denied
+                | Access::OwnerLost(_)
                 | Access::FetchRequired
                 | Access::LoadTooLate(_)
                 | Access::Full
--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -1,13 +1,13 @@
 //! Permits for servers with a rate limit, and the refusal when no server has one.
 
-use guavaspread_fleet::{Attempts, Server};
+use guavaspread_fleet::Server;
 use guavaspread_model::Refusal;
 
 use super::{Call, Progress};
 use crate::prelude::*;
 use crate::rate_limits::{self, Permit};
 use crate::record::{Record, Step};
-use crate::refusals::{no_server, rate_limited};
+use crate::refusals::{no_server, owner_lost, rate_limited};
 
 impl Call {
     /// Acquires a permit if the server has a rate limit; excludes the server if it is denied.
@@ -55,17 +55,22 @@
     /// server with a rate limit may have a permit.
     pub(super) fn no_server(
         &self,
-        attempts: &Attempts,
+        progress: &Progress,
         available_at: Option<Duration>,
         permit_at: Option<Duration>,
     ) -> Refusal {
         let now = self.entry.clock.now();
-        match permit_at {
-            Some(at) if available_at.is_none_or(|available_at| at <= available_at) => {
+        let attempts = &progress.attempts;
+        let available_in = available_at.map(|at| at.saturating_sub(now));
+        match (permit_at, progress.owner_lost) {
+            (Some(at), _) if available_at.is_none_or(|available_at| at <= available_at) => {
                 self.entry.metrics.rate_limited_refusals.inc();
                 rate_limited(attempts, at.saturating_sub(now))
             }
-            Some(_) | None => no_server(attempts, available_at.map(|at| at.saturating_sub(now))),
+            (None, Some(wait)) if available_in.is_none_or(|available_in| wait <= available_in) => {
+                owner_lost(attempts, wait)
+            }
+            (Some(_) | None, _) => no_server(attempts, available_in),
         }
     }
 }
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -83,6 +83,16 @@
     may_have_run()
 }
 
+/// Refuses a request for an adapter that no engine has loaded, because the owner of an engine that
+/// could load it is lost; another host may after `wait`.
+pub(crate) fn owner_lost(attempts: &Attempts, wait: Duration) -> Refusal {
+    if attempts.has_not_run() {
+        let detail = "the entry host that loads adapters on the engine does not respond";
+        return Refusal::not_run(Code::OwnerLost, detail).with_retry_after_ms(millis(wait));
+    }
+    may_have_run()
+}
+
 /// Refuses a request because every server that could run it is at its rate limit for `wait`.
 pub(crate) fn rate_limited(attempts: &Attempts, wait: Duration) -> Refusal {
     if attempts.has_not_run() {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -21,6 +21,7 @@
 
 mod claims;
 mod eras;
+mod lost_owners;
 mod reads;
 mod rows;
 
@@ -34,6 +35,7 @@
 
 use self::eras::InheritedEngine;
 pub use self::eras::LostEngine;
+use self::lost_owners::SilentOwner;
 use crate::backoff::Backoff;
 use crate::prelude::*;
 use crate::revision::revision_era;
@@ -100,6 +102,8 @@
     engines: BTreeMap<Arc<str>, bool>,
     /// When each host last responded to this one as an owner.
     responded_at: BTreeMap<Arc<str>, Duration>,
+    /// Owners that did not respond to this host's last request.
+    silent_owners: BTreeMap<Arc<str>, SilentOwner>,
     /// Since when each engine has had no owner with a valid lease.
     free_since: BTreeMap<Arc<str>, Duration>,
     /// How many hosts rank before this one for each engine.
@@ -173,6 +177,7 @@
             last_write: None,
             engines: BTreeMap::new(),
             responded_at: BTreeMap::new(),
+            silent_owners: BTreeMap::new(),
             free_since: BTreeMap::new(),
             ranks: BTreeMap::new(),
             is_stale: true,
@@ -281,6 +286,7 @@
     /// Its lease then counts as valid although its renewals were not read.
     pub fn on_peer_response(&mut self, holder: &Arc<str>, now: Duration) {
         self.responded_at.insert(holder.clone(), now);
+        self.silent_owners.remove(holder);
     }
 
     /// Returns the revision up to which the table was read.
@@ -320,7 +326,8 @@
 
     /// Records that the known owner of an engine replied that it does not own the engine; the
     /// table is read again.
-    pub fn mark_stale(&mut self) {
+    pub fn on_not_owner(&mut self, holder: &str) {
+        self.silent_owners.remove(holder);
         self.is_stale = true;
     }
 
--- a/crates/fleet/src/lease/reads.rs
+++ b/crates/fleet/src/lease/reads.rs
@@ -48,6 +48,7 @@
         self.read_backoff.on_success();
         self.apply_own_rows();
         self.drop_lost_engines(now);
+        self.forget_silent_owners();
     }
 
     /// Forgets the rows before a complete read, except for hosts that the copy may lack: until
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -97,6 +97,29 @@
     manager
 }
 
+/// The lease of the silent owner is valid for another 7 s, and the takeover delay is 3.3 s.
+#[test_case(0, Some(1_000); "it may start again")]
+#[test_case(2_999, Some(1_000); "it may still start again")]
+#[test_case(3_000, Some(7_800); "its lease has to expire")]
+#[test_case(10_800, Some(500); "others claim its engine")]
+fn a_silent_owner_delays_loads_until_its_engines_may_be_claimed(ms: u64, wait_ms: Option<u64>) {
+    let mut manager = manager_of(1, 1);
+    let claim = Claim { engine: "i-0".into(), holder: "host-0".into(), revision: 7, era: 0 };
+    let hosts = vec![host(0, STORE_OFFSET_MS + 7_000, 6)];
+    let (claims, store_time_ms) = (vec![claim], STORE_OFFSET_MS);
+    let table = LeaseTable { hosts, claims, revision: 9, store_time_ms, ..LeaseTable::default() };
+    manager.on_read(table, true, Duration::ZERO, Duration::ZERO);
+    let (holder, at) = ("host-0".into(), Duration::from_millis(ms));
+    assert_eq!(manager.load_wait("i-0", at), None);
+    manager.on_peer_silent(&holder, Duration::ZERO);
+    assert_eq!(manager.load_wait("i-0", at), wait_ms.map(Duration::from_millis));
+    manager.on_peer_silent(&holder, at);
+    let is_lost = matches!(manager.next_action(at), LeaseAction::Read(Some(9)));
+    assert_eq!(is_lost, ms >= 3_000, "the table is read once the owner counts as lost");
+    manager.on_not_owner(&holder);
+    assert_eq!(manager.load_wait("i-0", at), None);
+}
+
 #[test]
 fn a_restarted_process_reclaims_its_engines_at_once() {
     let claim = Claim { engine: "i-0".into(), holder: "host-0".into(), revision: 7, era: 0 };
--- a/crates/fleet/tests/lease_era_faults.rs
+++ b/crates/fleet/tests/lease_era_faults.rs
@@ -214,7 +214,7 @@
     let copy = table.clone();
     hosts.push(Host::new("host-1", 1));
     play(&mut hosts, &mut table, 2_000, 6_000);
-    hosts[0].manager.mark_stale();
+    hosts[0].manager.on_not_owner("host-1");
     play(&mut hosts, &mut table, 6_000, 8_000);
     table = copy;
     let now = Duration::from_secs(8);
