--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 use crate::owned_engines::OwnedEngines;
 use crate::peers::Peers;
-use crate::platform::{Feed, Platform};
+use crate::platform::{Feed, Platform, WriteOutcome};
 use crate::prelude::*;
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
@@ -33,7 +33,10 @@
 const TAKEOVER_DELAY_MARGIN: Duration = Duration::from_millis(300);
 /// How long the load balancer takes to notice that the host is not ready: two health checks.
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the grace period that is reserved for the exit of the process.
+/// How long the store may take to end the lease of a process that stops.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Part of the grace period that is reserved for the exit of the process, more than
+/// [`RELEASE_TIMEOUT`].
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reads of the settings file, which may change without a signal.
@@ -83,9 +86,28 @@
         _ = int.recv() => log::info!("stopping on SIGINT"),
     }
     drain(&entry).await;
+    release_leases(&entry).await;
     Ok(())
 }
 
+/// Gives up this host's lease, so that other hosts need not wait for it to expire.
+async fn release_leases(entry: &Rc<EntryState>) {
+    let Some(write) = entry.leases.borrow_mut().release(entry.clock.now()) else { return };
+    entry.owned_engines.sync(entry);
+    let writing = entry.platform.store.write_leases(&write);
+    match tokio::time::timeout(RELEASE_TIMEOUT, writing).await {
+        Ok(Ok(WriteOutcome::Done { .. })) => log::info!("the lease was released"),
+        Ok(Ok(WriteOutcome::Conflict)) => {
+            log::info!("the lease was not released, as its row has changed; it expires by itself");
+        }
+        Ok(Err(e)) => log::warn!("the lease was not released; it expires by itself: {e}"),
+        Err(_) => log::warn!(
+            "the store did not take the release of the lease in {} ms; it expires by itself",
+            RELEASE_TIMEOUT.as_millis()
+        ),
+    }
+}
+
 fn new_entry(cfg: EntrySettings, platform: &dyn Platform) -> Rc<EntryState> {
     let holder: Arc<str> = format!("{}@{}", cfg.host, cfg.ip).into();
     let takeover_delay = Duration::from_millis(cfg.lease_ms) + TAKEOVER_DELAY_MARGIN;
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -23,6 +23,7 @@
 mod eras;
 mod lost_owners;
 mod reads;
+mod release;
 mod rows;
 
 use std::collections::BTreeSet;
@@ -76,6 +77,8 @@
     /// The revision up to which the table was read.
     revision: Option<u64>,
     own_lease: Option<OwnLease>,
+    /// Whether the lease was given up, as the process stops.
+    is_released: bool,
     /// The fencing numbers of the engines that this process claimed.
     fences: BTreeMap<Arc<str>, u64>,
     /// The latest known era of the store.
@@ -164,6 +167,7 @@
             claims: BTreeMap::new(),
             revision: None,
             own_lease: None,
+            is_released: false,
             fences: BTreeMap::new(),
             era: None,
             has_era_risen: false,
@@ -217,6 +221,10 @@
         sent_at: Duration,
         now: Duration,
     ) {
+        if self.is_released {
+            // The write was sent before; others may have claimed the engines since.
+            return;
+        }
         self.on_era(revision_era(revision), now);
         if write.era != self.era() || !self.is_current(revision) {
             // The store came back meanwhile; the rows that the write replaced were others.
@@ -387,6 +395,9 @@
 
     /// Returns the next action.
     pub fn next_action(&mut self, now: Duration) -> LeaseAction {
+        if let Some(action) = self.action_after_release(now) {
+            return action;
+        }
         if self.is_stale || self.clock.is_none() {
             let at = self.read_at + self.read_backoff.delay();
             let first = self.read_at == Duration::ZERO;
--- a/crates/fleet/tests/common/lease_simulation.rs
+++ b/crates/fleet/tests/common/lease_simulation.rs
@@ -145,6 +145,19 @@
     pub has_era_conditions: bool,
     /// Whether the hosts wait for the leases of earlier eras to expire.
     pub awaits_expiry: bool,
+    /// What a host that stops makes of its lease.
+    pub release: Release,
+}
+
+/// What a host that stops makes of its lease.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Release {
+    /// Nothing; it expires.
+    Never,
+    /// Ends it, at every second stop.
+    AtStops,
+    /// Ends it as if another host had revoked it.
+    AsRevoked,
 }
 
 pub const RULES: Rules = Rules {
@@ -156,6 +169,7 @@
     reads_era: true,
     has_era_conditions: true,
     awaits_expiry: true,
+    release: Release::Never,
 };
 /// How often the simulation copies the table, and how many copies it keeps.
 const COPY_INTERVAL_TICKS: u32 = 20;
@@ -252,6 +266,19 @@
                 paused_until[host] = now + Duration::from_millis(rng.random_range(500..20_000));
             }
             if rng.random_ratio(1, 800) {
+                let is_stopped = rules.release != Release::Never && rng.random_bool(0.5);
+                let is_running = paused_until[host] <= now && partitioned_until[host] <= now;
+                let write = managers[host].release(now).filter(|_| is_stopped && is_running);
+                if let Some(mut write) = write {
+                    if rules.release == Release::AsRevoked {
+                        write.host.until_ms = 0;
+                    }
+                    let after = Duration::from_millis(rng.random_range(0..WRITE_DELAY_MAX_MS));
+                    match rng.random_ratio(1, 4) {
+                        true => delayed.push(DelayedWrite { at: now + after, write }),
+                        false => _ = table.write_under(&write, rules),
+                    }
+                }
                 managers[host] = new_manager(host);
                 reply_deadline[host] = Duration::ZERO;
             }
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -12,7 +12,9 @@
 use guavaspread_fleet::{
     Claim, EraCondition, HostLease, LeaseAction, LeaseManager, LeaseTable, LeaseTimes, LeaseWrite,
 };
-use lease_simulation::{RULES, Rules, STORE_OFFSET_MS, TIMES, Table, find_violation, simulate};
+use lease_simulation::{
+    RULES, Release, Rules, STORE_OFFSET_MS, TIMES, Table, find_violation, simulate,
+};
 use test_case::test_case;
 
 #[test]
@@ -36,6 +38,24 @@
     }
 }
 
+/// Hosts end their leases when they stop; the write may be late.
+#[test_case(RULES; "hosts that renew themselves")]
+#[test_case(DELEGATE_RULES; "with a delegate")]
+fn at_most_one_owner_in_ten_thousand_interleavings_with_releases(rules: Rules) {
+    for seed in 0..10_000 {
+        let rules = Rules { release: Release::AtStops, ..rules };
+        if let Some(error) = find_violation(&simulate(seed, rules)) {
+            panic!("seed {seed}: {error}");
+        }
+    }
+}
+
+#[test]
+fn a_release_without_the_takeover_delay_breaks_exclusive_ownership() {
+    let rules = Rules { release: Release::AsRevoked, ..RULES };
+    assert!((0..2_000).any(|seed| find_violation(&simulate(seed, rules)).is_some()));
+}
+
 #[test]
 fn a_delegate_without_row_conditions_breaks_exclusive_ownership() {
     let rules = Rules { keeps_conditions: false, ..DELEGATE_RULES };
