Move the load and the failures of a server out of the placement

They are a module of their own now, with the handlers that change it; a new process of a server starts from a new candidate instead of four fields set one by one.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -11,27 +11,21 @@
 //!
 //! Services without models are placed by load, with a preference for the entry host's own zone.
 
+mod candidate;
+
 use std::cell::Cell;
 
 use guavaspread_model::rendezvous_score;
 use guavaspread_placement::{Demand, DemandMap};
 use slotmap::{SlotMap, new_key_type};
 
+use self::candidate::Candidate;
+pub use self::candidate::LoadReport;
 use crate::notices::{Availability, ServerNotice, ServerNotices};
 use crate::prelude::*;
 use crate::rate_limit::RateLimits;
 use crate::server_list::{AdapterId, Server};
 
-/// How long an unreachable server is used only as a last resort; doubles with each further failure.
-const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(1_000);
-const COOLDOWN_DOUBLINGS_MAX: u32 = 2;
-/// Half-life of a server's failure count; a server that fails some requests recovers in seconds.
-const FAILURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
-/// Cost of one recent failure of a server, as a fraction of its slots.
-const FAILURE_COST: f64 = 0.5;
-/// How long a load report counts, with linearly decreasing weight. A request lasts 2 to 3 seconds,
-/// so an older report says little about the current load.
-const LOAD_REPORT_TTL: Duration = Duration::from_millis(4_000);
 /// Cost of fetching the adapter, as a fraction of the engine's slots.
 const FETCH_COST: f64 = 0.4;
 /// Cost of a server in another zone, as a fraction of its slots; applies to services without
@@ -64,17 +58,6 @@
     pub struct PlacementKey;
 }
 
-/// A server's report of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Running requests.
-    pub running: u32,
-    /// Queued requests.
-    pub waiting: u32,
-    /// Requests that the server can run concurrently.
-    pub slots: u32,
-}
-
 /// The servers among which one is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerFilter<'a> {
@@ -108,41 +91,6 @@
     Unavailable(Option<Duration>),
 }
 
-#[derive(Clone, Debug)]
-struct Candidate {
-    server: Arc<Server>,
-    in_flight: u32,
-    report: Option<(LoadReport, Duration)>,
-    failures: Demand,
-    cooldown_until: Duration,
-    /// Consecutive connection failures since the last load report.
-    unreachable_count: u32,
-}
-
-impl Candidate {
-    /// Returns the number of requests at the server.
-    fn requests(&self, now: Duration) -> f64 {
-        let reported = match self.report {
-            Some((report, at)) => {
-                let age = now.saturating_sub(at).as_secs_f64() / LOAD_REPORT_TTL.as_secs_f64();
-                (f64::from(report.running) + f64::from(report.waiting)) * (1.0 - age).max(0.0)
-            }
-            None => 0.0,
-        };
-        reported.max(f64::from(self.in_flight))
-    }
-
-    /// Returns the load that one more request would cause, as a fraction of the slots.
-    fn load(&self, now: Duration) -> f64 {
-        (self.requests(now) + 1.0) / f64::from(self.server.slots.max(1))
-    }
-
-    fn cost(&self, now: Duration) -> f64 {
-        let failures = self.failures.count(now, FAILURE_HALF_LIFE);
-        self.load(now) + failures * FAILURE_COST
-    }
-}
-
 /// Chooses servers for one entry host.
 #[derive(Debug)]
 pub struct Placement {
@@ -175,24 +123,11 @@
     pub fn upsert(&mut self, server: Arc<Server>) {
         let known = self.by_id.get(&server.id).and_then(|key| self.candidates.get_mut(*key));
         if let Some(candidate) = known {
-            if candidate.server.started_at_ms != server.started_at_ms {
-                candidate.report = None;
-                candidate.cooldown_until = Duration::ZERO;
-                candidate.unreachable_count = 0;
-                candidate.failures = Demand::default();
-            }
-            candidate.server = server;
+            candidate.update(server);
             return;
         }
         let id = server.id.clone();
-        let key = self.candidates.insert(Candidate {
-            server,
-            in_flight: 0,
-            report: None,
-            failures: Demand::default(),
-            cooldown_until: Duration::ZERO,
-            unreachable_count: 0,
-        });
+        let key = self.candidates.insert(Candidate::new(server));
         self.by_id.insert(id, key);
     }
 
@@ -412,24 +347,21 @@
     /// Records a server's load report.
     pub fn on_load_report(&mut self, key: PlacementKey, report: LoadReport, now: Duration) {
         if let Some(candidate) = self.candidates.get_mut(key) {
-            candidate.report = Some((report, now));
-            candidate.unreachable_count = 0;
+            candidate.on_load_report(report, now);
         }
     }
 
     /// Records that a server failed a request.
     pub fn on_request_failed(&mut self, key: PlacementKey, now: Duration) {
         if let Some(candidate) = self.candidates.get_mut(key) {
-            candidate.failures.add(now, FAILURE_HALF_LIFE, 1.0);
+            candidate.on_request_failed(now);
         }
     }
 
     /// Records that a server could not be reached.
     pub fn on_unreachable(&mut self, key: PlacementKey, now: Duration) {
         if let Some(candidate) = self.candidates.get_mut(key) {
-            let doublings = candidate.unreachable_count.min(COOLDOWN_DOUBLINGS_MAX);
-            candidate.cooldown_until = now + UNREACHABLE_COOLDOWN * 2u32.pow(doublings);
-            candidate.unreachable_count += u32::from(doublings < COOLDOWN_DOUBLINGS_MAX);
+            candidate.on_unreachable(now);
         }
     }
 
@@ -492,7 +424,7 @@
             .map(|(key, _)| key)
             .collect();
         let is_reachable =
-            |key: &PlacementKey| self.candidates.get(*key).is_some_and(|c| c.cooldown_until <= now);
+            |key: &PlacementKey| self.candidates.get(*key).is_some_and(|c| c.is_reachable(now));
         let reachable: Vec<PlacementKey> = available.iter().copied().filter(is_reachable).collect();
         if reachable.is_empty() { available } else { reachable }
     }
