--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -163,8 +163,9 @@
     }
     let reply = entry.peers.request_adapter(address, request, entry.clock).await;
     let Some((status, remote)) = reply else {
-        entry.leases.borrow_mut().on_peer_silent(&holder, entry.clock.now());
-        entry.leases_changed.notify_waiters();
+        if entry.leases.borrow_mut().on_peer_silent(&holder, entry.clock.now()) {
+            entry.leases_changed.notify_waiters();
+        }
         return None;
     };
     if status == AdapterStatus::NotOwner {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -36,7 +36,6 @@
 
 use self::eras::InheritedEngine;
 pub use self::eras::LostEngine;
-use self::lost_owners::SilentOwner;
 use crate::backoff::Backoff;
 use crate::prelude::*;
 use crate::revision::revision_era;
@@ -105,8 +104,8 @@
     engines: BTreeMap<Arc<str>, bool>,
     /// When each host last responded to this one as an owner.
     responded_at: BTreeMap<Arc<str>, Duration>,
-    /// Owners that did not respond to this host's last request.
-    silent_owners: BTreeMap<Arc<str>, SilentOwner>,
+    /// Since when the owners do not respond that did not respond to this host's last request.
+    silent_since: BTreeMap<Arc<str>, Duration>,
     /// Since when each engine has had no owner with a valid lease.
     free_since: BTreeMap<Arc<str>, Duration>,
     /// How many hosts rank before this one for each engine.
@@ -181,7 +180,7 @@
             last_write: None,
             engines: BTreeMap::new(),
             responded_at: BTreeMap::new(),
-            silent_owners: BTreeMap::new(),
+            silent_since: BTreeMap::new(),
             free_since: BTreeMap::new(),
             ranks: BTreeMap::new(),
             is_stale: true,
@@ -294,7 +293,7 @@
     /// Its lease then counts as valid although its renewals were not read.
     pub fn on_peer_response(&mut self, holder: &Arc<str>, now: Duration) {
         self.responded_at.insert(holder.clone(), now);
-        self.silent_owners.remove(holder);
+        self.silent_since.remove(holder);
     }
 
     /// Returns the revision up to which the table was read.
@@ -335,7 +334,7 @@
     /// Records that the known owner of an engine replied that it does not own the engine; the
     /// table is read again.
     pub fn on_not_owner(&mut self, holder: &str) {
-        self.silent_owners.remove(holder);
+        self.silent_since.remove(holder);
         self.is_stale = true;
     }
 
--- a/crates/fleet/src/lease/lost_owners.rs
+++ b/crates/fleet/src/lease/lost_owners.rs
@@ -15,50 +15,41 @@
 /// read and a write of the table, and the engine's report.
 const CLAIM_TIME: Duration = Duration::from_millis(500);
 
-/// An owner that does not respond.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SilentOwner {
-    since: Duration,
-    /// Whether the table was read since the owner counts as lost.
-    is_read: bool,
-}
-
 impl LeaseManager {
-    /// Records that the owner of an engine did not respond to this host.
+    /// Records that the owner of an engine did not respond to this host; returns whether the table is
+    /// to be read.
     ///
-    /// After [`RESTART_TIME`], the table is read once: renewals of the owner's lease that this host
-    /// has not read delay the takeover.
-    pub fn on_peer_silent(&mut self, holder: &Arc<str>, now: Duration) {
-        let first = SilentOwner { since: now, is_read: false };
-        let silent = self.silent_owners.entry(holder.clone()).or_insert(first);
-        if now >= silent.since + RESTART_TIME && !std::mem::replace(&mut silent.is_read, true) {
-            self.is_stale = true;
-        }
+    /// It is read once the owner counts as lost, since renewals that this host has not read delay the
+    /// takeover. One read serves all owners that are lost together.
+    pub fn on_peer_silent(&mut self, holder: &Arc<str>, now: Duration) -> bool {
+        let since = *self.silent_since.entry(holder.clone()).or_insert(now);
+        let lost_at = since + RESTART_TIME;
+        let is_read = self.read_at >= lost_at || now < self.read_at + RESTART_TIME;
+        let is_due = now >= lost_at && !is_read && !self.is_stale;
+        self.is_stale |= is_due;
+        is_due
     }
 
     /// Returns after which time an adapter may be loaded on an engine whose owner does not respond;
     /// `None` if the owner is not known to be silent.
     pub fn load_wait(&self, engine: &str, now: Duration) -> Option<Duration> {
         let claim = self.claims.get(engine)?;
-        let silent = self.silent_owners.get(&claim.holder)?;
-        if now < silent.since + RESTART_TIME {
+        let since = self.silent_since.get(&claim.holder)?;
+        if now < *since + RESTART_TIME {
             return Some(RESTART_RETRY_DELAY);
         }
+        // 0 after the lease was revoked with another claim.
         let until_ms = self.hosts.get(&claim.holder).map_or(0, |host| host.until_ms);
-        let takeover_delay = self.times.takeover_delay;
-        let wait_ms = match until_ms {
-            // The lease was revoked with another claim.
-            0 => 0,
-            until_ms => {
-                (until_ms + takeover_delay.as_millis() as u64).saturating_sub(self.earliest_ms(now))
-            }
-        };
-        Some(Duration::from_millis(wait_ms) + CLAIM_TIME)
+        let left = Duration::from_millis(until_ms.saturating_sub(self.earliest_ms(now)));
+        let takeover_delay = if until_ms == 0 { Duration::ZERO } else { self.times.takeover_delay };
+        let expired_for = Duration::from_millis(self.earliest_ms(now).saturating_sub(until_ms));
+        let wait = left.min(self.times.lease_ttl) + takeover_delay;
+        Some(wait.saturating_sub(expired_for) + CLAIM_TIME)
     }
 
     /// Forgets silent owners that the table no longer holds.
     pub(super) fn forget_silent_owners(&mut self) {
         let hosts = &self.hosts;
-        self.silent_owners.retain(|holder, _| hosts.contains_key(holder));
+        self.silent_since.retain(|holder, _| hosts.contains_key(holder));
     }
 }
