--- a/crates/fleet/src/lease/lost_owners.rs
+++ b/crates/fleet/src/lease/lost_owners.rs
@@ -6,6 +6,7 @@
 
 use super::LeaseManager;
 use crate::prelude::*;
+use crate::watch::ZONE_HOSTS_MIN;
 
 /// Time in which a process that was killed usually starts again.
 const RESTART_TIME: Duration = Duration::from_secs(3);
@@ -20,12 +21,14 @@
     /// to be read.
     ///
     /// It is read once the owner counts as lost, since renewals that this host has not read delay the
-    /// takeover. One read serves all owners that are lost together.
+    /// takeover. One read serves all owners that are lost together. In a zone with a delegate, the
+    /// delegate reads and tells of the leases with each renewal.
     pub fn on_peer_silent(&mut self, holder: &Arc<str>, now: Duration) -> bool {
         let since = *self.silent_since.entry(holder.clone()).or_insert(now);
         let lost_at = since + RESTART_TIME;
         let is_read = self.read_at >= lost_at || now < self.read_at + RESTART_TIME;
-        let is_due = now >= lost_at && !is_read && !self.is_stale;
+        let has_delegate = self.zone_hosts(now).count() >= ZONE_HOSTS_MIN;
+        let is_due = now >= lost_at && !is_read && !has_delegate && !self.is_stale;
         self.is_stale |= is_due;
         is_due
     }
