--- a/review/standins.py
+++ b/review/standins.py
@@ -214,7 +214,7 @@
 class Host:
     """An entry host, started with the command of the deploy file."""
 
-    def __init__(self, folder, name, store, grace_s=8):
+    def __init__(self, folder, name, store, grace_s=8, zone="sapporo"):
         self.name = name
         self.front = "127.0.0.1:%d" % free_port()
         self.ready = "127.0.0.1:%d" % free_port()
@@ -223,7 +223,7 @@
         self.log_path = os.path.join(folder, name + ".log")
         with open(self.path, "w", encoding="utf-8") as f:
             f.write(
-                f'host = "{name}"\nip = "127.0.0.1"\nzone = "sapporo"\n'
+                f'host = "{name}"\nip = "127.0.0.1"\nzone = "{zone}"\n'
                 f'listen = "{self.front}"\nready = "{self.ready}"\nports = [{port}, {port}]\n'
                 f'metrics = "127.0.0.1:{free_port()}"\nstore = "{store}"\n'
                 f"grace-s = {grace_s}\nlease-ms = 3000\ndrain-ms = 2000\napply-ms = 2000\n"
