--- a/review/standins.py
+++ b/review/standins.py
@@ -203,6 +203,15 @@
     }
 
 
+async def heartbeats(store, name, row, is_alive=lambda: True):
+    """Writes a server's entry at once and each 1.2 s, until the server is no longer alive."""
+    seq = row["seq"]
+    while is_alive():
+        await store.put("servers", name, {**row, "seq": seq})
+        seq += 1
+        await asyncio.sleep(1.2)
+
+
 def config(routes, version=7):
     return {
         "version": version,
@@ -319,8 +328,8 @@
     return answer
 
 
-def request_bytes(method, path, request_id, deadline_ms=600, body=b"", host="counter.example"):
-    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+def request_bytes(method, path, request_id, deadline_ms=600, body=b"", extra=""):
+    head = f"{method} {path} HTTP/1.1\r\nHost: counter.example\r\n{extra}"
     if request_id:
         head += f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
     if method != "GET":
@@ -328,11 +337,13 @@
     return head.encode() + b"\r\n" + body
 
 
-async def request(address, method, path, request_id="", deadline_ms=600, body=b"", timeout=10):
+async def request(
+    address, method, path, request_id="", deadline_ms=600, body=b"", timeout=10, extra=""
+):
     host, port = address.rsplit(":", 1)
     reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
     try:
-        writer.write(request_bytes(method, path, request_id, deadline_ms, body))
+        writer.write(request_bytes(method, path, request_id, deadline_ms, body, extra))
         await writer.drain()
         return await asyncio.wait_for(read_answer(reader, method), timeout)
     except asyncio.IncompleteReadError as e:
