Review scripts: exit with 2 if the program is not built

Seen: without the program the scripts exited with 0, against what the report said. Cause: run_case returned the code, and nothing ended the process with it.

--- a/review/standins.py
+++ b/review/standins.py
@@ -353,13 +353,13 @@
 
 
 def run_case(folder, main):
-    """Runs `main(record, temp_folder, with_trouble)`, which returns an exit code."""
+    """Runs `main(record, temp_folder, with_trouble)`, which returns an exit code, and ends with it."""
     record = Record(os.path.join(folder, "record.txt"))
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"disruption: {'yes' if with_trouble else 'no'}")
     if not os.path.exists(PROGRAM):
         record.line("the entry host's program is not built")
-        return EXIT_NOT_RUN
+        sys.exit(EXIT_NOT_RUN)
     with tempfile.TemporaryDirectory() as temp:
         try:
             code = asyncio.run(asyncio.wait_for(main(record, temp, with_trouble), 110))
