--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll};
 
 use guavaspread_fleet::{
-    AttemptOutcome, Availability, ConnectionLoss, EventScanner, PlacementKey, PromptParts, Server,
+    AttemptOutcome, ConnectionLoss, EventScanner, PlacementKey, PromptParts, ResponseEnd, Server,
     StreamPosition,
 };
 use guavaspread_model::ContentId;
@@ -15,7 +15,9 @@
 
 use crate::access::AdapterHold;
 use crate::caller_io::ResetOnEnd;
-use crate::connection_pool::{Framing, ResponseBody, ServerResponse, connect, is_timeout};
+use crate::connection_pool::{
+    Framing, ResponseBody, ServerResponse, accepts_connections, is_timeout,
+};
 use crate::prelude::*;
 use crate::record::Record;
 use crate::resume::{ResumeFuture, Resumed, Resumer};
@@ -64,14 +66,14 @@
 enum Source {
     /// The body of a server's response.
     Server(ResponseBody),
-    /// The connection ended between two events; whether the server still runs is being checked.
+    /// The connection ended the response; whether the server did so itself is being checked.
     Confirming(EndCheck),
     /// The stream is being resumed on another server.
     Resuming(ResumeFuture),
     Ended,
 }
 
-/// Returns whether the server still accepts connections.
+/// Returns whether the server ended the response itself.
 type EndCheck = Pin<Box<dyn Future<Output = bool>>>;
 
 /// Error that aborts a body, so that the caller does not take it for complete.
@@ -181,7 +183,7 @@
                 Source::Confirming(check) => match check.as_mut().poll(cx) {
                     Poll::Ready(true) => self.on_confirmed_end(),
                     Poll::Ready(false) => {
-                        let detail = "the server is gone since it ended the stream".to_owned();
+                        let detail = "the server is gone since it ended the response".to_owned();
                         self.on_connection_lost(detail, ConnectionLoss::Closed)
                     }
                     Poll::Pending => PollStep::Wait,
@@ -249,18 +251,24 @@
         self.on_confirmed_end()
     }
 
-    /// Returns the check of a stream that ended between two events with its connection, as it also
-    /// does when its server crashes.
+    /// Returns the check of a response that ended with its connection, as it also does when its
+    /// server crashes.
     fn end_check(&self) -> Option<EndCheck> {
-        let is_unframed = self.framing() == Some(Framing::Close) && self.position().is_some();
-        let InFlight { entry, run, .. } = self.in_flight.as_ref().filter(|_| is_unframed)?;
+        let is_unframed = self.framing() == Some(Framing::Close);
+        let InFlight { entry, key, run, .. } = self.in_flight.as_ref().filter(|_| is_unframed)?;
         let server = &run.as_ref()?.server;
-        // A server that leaves exits after its last stream.
-        let server_list = entry.server_list.borrow();
-        let known = server_list.get(&server.id).filter(|known| known.is_same_process(server))?;
-        let is_leaving = entry.availability(known) == Availability::Draining;
+        let standing = {
+            let server_list = entry.server_list.borrow();
+            let listed = server_list.get(&server.id).map(|listed| &**listed);
+            entry.departures.borrow().standing(server, listed, entry.clock.now())
+        };
+        let has_others_in_flight = entry.placement.borrow().in_flight(*key) > 1;
+        let end = ResponseEnd { standing, has_others_in_flight };
+        let drain_time = Duration::from_millis(entry.cfg.borrow().drain_ms);
         let address = server.address;
-        (!is_leaving).then(|| Box::pin(async move { connect(address).await.is_ok() }) as EndCheck)
+        Some(Box::pin(
+            async move { end.is_complete(accepts_connections(address).await, drain_time) },
+        ))
     }
 
     fn on_confirmed_end(&mut self) -> PollStep {
--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -3,11 +3,15 @@
 //!
 //! To a caller of HTTP 1.0, a body without a length ends with the connection. A connection that
 //! is closed in order would make any part of it look complete.
+//!
+//! The connection and its bodies also record what the connection is doing.
 
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use guavaspread_fleet::CallerConnection;
+use http_body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -18,6 +22,9 @@
 /// is sent on it.
 pub(crate) type ResetOnEnd = Rc<Cell<bool>>;
 
+/// What a connection is doing; shared by the connection and its bodies.
+pub(crate) type ConnectionState = Rc<RefCell<CallerConnection>>;
+
 /// The connection of a caller.
 ///
 /// The kernel resets it as well if the process ends meanwhile.
@@ -25,11 +32,18 @@
     stream: TcpStream,
     reset_on_end: ResetOnEnd,
     is_reset_set: bool,
+    state: ConnectionState,
+    clock: Clock,
 }
 
 impl CallerIo {
-    pub(crate) fn new(stream: TcpStream, reset_on_end: ResetOnEnd) -> Self {
-        CallerIo { stream, reset_on_end, is_reset_set: false }
+    pub(crate) fn new(
+        stream: TcpStream,
+        reset_on_end: ResetOnEnd,
+        state: ConnectionState,
+        clock: Clock,
+    ) -> Self {
+        CallerIo { stream, reset_on_end, is_reset_set: false, state, clock }
     }
 
     /// Lets the kernel reset the connection when it closes, by a linger time of 0.
@@ -54,7 +68,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled {
+            self.state.borrow_mut().on_bytes(self.clock.now());
+        }
+        polled
     }
 }
 
@@ -94,3 +113,42 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+/// A response body that records its end.
+pub(crate) struct TrackedBody<B> {
+    body: B,
+    state: ConnectionState,
+    clock: Clock,
+}
+
+impl<B> TrackedBody<B> {
+    pub(crate) fn new(body: B, state: ConnectionState, clock: Clock) -> Self {
+        TrackedBody { body, state, clock }
+    }
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        self.state.borrow_mut().on_response_end(self.clock.now());
+    }
+}
+
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -23,6 +23,9 @@
 
 /// How long a connection may take to open; a machine that is powered off never responds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a new connection is watched. A process that ends closes its connections one by one, and
+/// may accept one before it stops listening.
+const ACCEPTANCE_TIME: Duration = Duration::from_millis(10);
 /// How long an idle connection is reusable when the server states no timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// An idle connection is discarded this long before the stated timeout: a request sent later
@@ -107,6 +110,16 @@
     Ok(stream)
 }
 
+/// Returns whether a process that accepts connections listens on an address.
+pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
+    let Ok(stream) = connect(address).await else { return false };
+    match tokio::time::timeout(ACCEPTANCE_TIME, stream.readable()).await {
+        Err(_) => true,
+        // The process is ending, or it has too many connections; only then it accepts another one.
+        Ok(_) => connect(address).await.is_ok(),
+    }
+}
+
 impl Connection {
     async fn open(address: SocketAddr) -> Result<Self, SendError> {
         let stream = connect(address).await.map_err(|e| SendError::NotSent(e.to_string()))?;
--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -1,8 +1,12 @@
 //! HTTP listeners for callers, for the load balancer's readiness check and for metrics.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::task::Poll;
 
+use guavaspread_fleet::{CallerConnection, ConnectionAction};
 use http::{Method, Request, Response, StatusCode, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -11,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_io::{CallerIo, ResetOnEnd};
+use crate::caller_io::{CallerIo, ConnectionState, ResetOnEnd, TrackedBody};
 use crate::connection_pool::set_socket_options;
 use crate::forward;
 use crate::prelude::*;
@@ -19,8 +23,9 @@
 
 /// Delay before the next `accept` after a failed one, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// The smallest read buffer that hyper accepts.
-const READ_BUFFER_BYTES_MIN: usize = 8_192;
+/// Read buffer of a connection, which bounds the head of a request. The limit in force may rise up
+/// to this size while the connection is open; beyond it, the connection is closed.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// Listens on `address`, even while connections of a previous process are in TIME_WAIT.
 ///
@@ -56,13 +61,19 @@
     if let Err(e) = set_socket_options(&stream) {
         log::debug!("setting socket options on a caller's connection failed: {e}");
     }
-    let limits = entry.catalog.borrow().as_ref().map(|c| c.limits).unwrap_or_default();
+    let mut limits = entry.limits.subscribe();
+    let read_buffer_bytes = limits.borrow_and_update().header_bytes_max.max(READ_BUFFER_BYTES);
     let mut stopping = entry.stopping.subscribe();
     let is_stopping = *stopping.borrow_and_update();
     let reset_on_end = ResetOnEnd::default();
-    let io = CallerIo::new(stream, reset_on_end.clone());
+    let state = CallerConnection::new(read_buffer_bytes, entry.clock.now());
+    let state: ConnectionState = Rc::new(RefCell::new(state));
+    let io = CallerIo::new(stream, reset_on_end.clone(), state.clone(), entry.clock);
+    let (clock, tracked) = (entry.clock, state.clone());
     let handler = service_fn(move |req: Request<Incoming>| {
         let (entry, reset_on_end) = (entry.clone(), reset_on_end.clone());
+        tracked.borrow_mut().on_request();
+        let state = tracked.clone();
         async move {
             let can_read_chunks = req.version() >= Version::HTTP_11;
             let is_head = req.method() == Method::HEAD;
@@ -71,29 +82,58 @@
             if !can_read_chunks && !has_length {
                 res.body_mut().reset_unless_complete(reset_on_end);
             }
-            Ok::<_, Infallible>(res)
+            Ok::<_, Infallible>(res.map(|body| TrackedBody::new(body, state, clock)))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // hyper counts the idle time between two requests towards the head of the second one.
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes_max.max(READ_BUFFER_BYTES_MIN))
+        // Would hold for as long as the connection is open; `CallerConnection` decides instead.
+        .header_read_timeout(None)
+        .max_buf_size(read_buffer_bytes)
         .keep_alive(!is_stopping)
         .serve_connection(TokioIo::new(io), handler);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        _ = stopping.changed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    loop {
+        let action = state.borrow_mut().next_action(&limits.borrow_and_update(), clock.now());
+        let until = match action {
+            ConnectionAction::KeepUntil(until) => until,
+            ConnectionAction::Close => {
+                connection.as_mut().graceful_shutdown();
+                continue;
+            }
+            ConnectionAction::Abort => {
+                log::debug!("a caller did not complete a request's head in time; closing");
+                return;
+            }
+        };
+        tokio::select! {
+            ended = run(connection.as_mut(), &state) => match ended {
+                Some(Ok(())) => return,
+                Some(Err(e)) => {
+                    log::debug!("a caller's connection ended with an error: {e}");
+                    return;
+                }
+                None => {}
+            },
+            _ = stopping.changed() => connection.as_mut().graceful_shutdown(),
+            _ = limits.changed() => {}
+            () = tokio::time::sleep(until.saturating_sub(clock.now())) => {}
         }
-    };
-    if let Err(e) = result {
-        log::debug!("a caller's connection ended with an error: {e}");
     }
 }
 
+/// Runs a connection until it ends; returns `None` when the head of a request arrives in part, as
+/// its time limit is then earlier than that of the idle connection.
+async fn run<C: Future>(mut connection: Pin<&mut C>, state: &ConnectionState) -> Option<C::Output> {
+    let was_reading_head = state.borrow().is_reading_head();
+    poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(result) => Poll::Ready(Some(result)),
+        Poll::Pending if !was_reading_head && state.borrow().is_reading_head() => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
+    })
+    .await
+}
+
 /// Serves a plain-text page until the process ends.
 pub(crate) async fn serve_text_page(
     listener: TcpListener,
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use guavaspread_model::{Code, ContentId, Refusal};
-use http::{header, request};
+use http::{HeaderName, HeaderValue, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
@@ -48,6 +48,9 @@
     let Some(catalog) = entry.catalog.borrow().clone() else {
         return Err(no_configuration());
     };
+    if head_bytes(&head) > catalog.limits.header_bytes_max {
+        return Err(Refusal::not_run(Code::HeadTooLarge, "the header section exceeds the limit"));
+    }
     let host = request_host(&head).ok_or_else(|| malformed("the request names no host"))?;
     let route = catalog.find_route(&host, head.uri.path()).cloned();
     let route = route
@@ -90,6 +93,18 @@
     })
 }
 
+/// Returns the size of a request's head as the caller sent it, up to optional white space.
+fn head_bytes(head: &request::Parts) -> usize {
+    /// A space between method and path, another one, the version, and the line's end.
+    const START_LINE_REST: usize = " ".len() + " HTTP/1.1\r\n".len();
+    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let start_line = head.method.as_str().len() + path + START_LINE_REST;
+    let field = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + ": ".len() + value.len() + "\r\n".len()
+    };
+    start_line + head.headers.iter().map(field).sum::<usize>() + "\r\n".len()
+}
+
 /// Returns the content id of a request, which is the same each time the caller repeats it.
 ///
 /// Hashes the caller's address and key, the method, the host, the path and the body. The other
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,4 +52,4 @@
     Protocol, RequestInfo, ResponseInfo, Store, StoreError, StreamVersionRow, WriteOutcome,
 };
 pub use process::run;
-pub use settings::{EntrySettings, SettingsError};
+pub use settings::{EntrySettings, STORE_READ_TIMEOUT_MS, SettingsError};
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -157,6 +157,9 @@
     /// earlier one count as responses of this era.
     fn note_era(&self, era: u64);
 
+    /// Closes the channels that carry no call, so that the next calls open new ones.
+    fn close_idle_channels(&self);
+
     /// Reads all rows of a feed.
     ///
     /// # Errors
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 
 use eyre::{Context, Result};
-use guavaspread_fleet::{GrantCache, LeaseManager, LeaseTimes, Placement, RetryShares, ServerList};
+use guavaspread_fleet::{
+    GrantCache, LeaseManager, LeaseTimes, Placement, RequestLimits, RetryShares, ServerList,
+};
 use http::StatusCode;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -129,6 +131,7 @@
         renewals: LeaseRenewals::default(),
         holder,
         catalog: RefCell::new(None),
+        limits: watch::Sender::new(RequestLimits::default()),
         versions: RefCell::default(),
         server_list: RefCell::new(ServerList::default()),
         placement: RefCell::new(Placement::new(cfg.zone.clone())),
@@ -138,6 +141,7 @@
         owned_engines: OwnedEngines::default(),
         stream_versions: StreamVersions::default(),
         crash_detector: RefCell::default(),
+        departures: RefCell::default(),
         quarantine: RefCell::default(),
         hosts_read_at: Cell::default(),
         announced_hosts: RefCell::default(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -37,6 +37,10 @@
     pub drain_ms: u64,
     /// How long a configuration may take to come into force on this host, in milliseconds.
     pub apply_ms: u64,
+    /// How long after a disturbance of its connections this host may be out of date, in
+    /// milliseconds.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: u64,
     /// Retries to a service, as a share of its requests.
     pub retry_share: f64,
     /// Retries to a service beyond that share, summed over all entry hosts.
@@ -55,10 +59,28 @@
 /// Time for a call to the store and one retry, in milliseconds.
 pub(crate) const STORE_CALL_MARGIN_MS: u64 = 800;
 
+/// Timeout of a read of the store, in addition to the requested wait, in milliseconds. A slow store
+/// takes 240 ms (60 times 4 ms).
+pub const STORE_READ_TIMEOUT_MS: u64 = 800;
+/// Delay before the first retry of a failed call to the store, in milliseconds.
+pub(crate) const STORE_RETRY_INTERVAL_MS: u64 = 300;
+/// Time for the read after a silent channel was noticed, and for the changes to take effect, in
+/// milliseconds.
+const STORE_CATCH_UP_MS: u64 = 400;
+/// The shortest time for the interval between two reads of a feed and the wait of a read, in
+/// milliseconds. With less, the hosts would read without a pause.
+const FEED_CYCLE_MIN_MS: u64 = 500;
+const CONTACT_MIN_MS: u64 =
+    FEED_CYCLE_MIN_MS + STORE_READ_TIMEOUT_MS + STORE_RETRY_INTERVAL_MS + STORE_CATCH_UP_MS;
+
 /// Longest graceful shutdown, in seconds. A time that no duration holds would end the process when
 /// it stops.
 const GRACE_MAX_S: f64 = 86_400.0;
 
+fn default_contact_ms() -> u64 {
+    3_000
+}
+
 fn default_first_start() -> bool {
     true
 }
@@ -119,6 +141,13 @@
         SocketAddr::new(self.ip, self.ports[0])
     }
 
+    /// Returns the longest time for the interval between two reads of a feed and the wait of a read,
+    /// with which a silent channel to the store is noticed in time.
+    pub(crate) fn feed_cycle_max(&self) -> Duration {
+        let rest_ms = CONTACT_MIN_MS - FEED_CYCLE_MIN_MS;
+        Duration::from_millis(self.contact_ms.saturating_sub(rest_ms))
+    }
+
     fn find_invalid(&self) -> Option<(&'static str, &'static str)> {
         if self.host.is_empty() {
             return Some(("host", "must not be empty"));
@@ -144,6 +173,9 @@
         if self.apply_ms < STORE_CALL_MARGIN_MS * 2 {
             return Some(("apply-ms", "must be at least 1600"));
         }
+        if self.contact_ms < CONTACT_MIN_MS {
+            return Some(("contact-ms", "must be at least 2000"));
+        }
         if !(0.0..=1.0).contains(&self.retry_share) {
             return Some(("retry-share", "must be between 0 and 1"));
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use guavaspread_fleet::{
-    AdapterId, Availability, Catalog, CrashDetector, GrantCache, HostLease, LeaseManager,
-    LeaseTable, LostEngine, PermitIssuer, Placement, Quarantine, RetryShares, Server, ServerChange,
-    ServerCrash, ServerList, ServerNotice, revision_era,
+    AdapterId, Availability, Catalog, CrashDetector, Departures, GrantCache, HostLease,
+    LeaseManager, LeaseTable, LostEngine, PermitIssuer, Placement, Quarantine, RequestLimits,
+    RetryShares, Server, ServerChange, ServerCrash, ServerList, ServerNotice, revision_era,
 };
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
@@ -42,6 +42,8 @@
     /// Identifies this host in the lease table.
     pub(crate) holder: Arc<str>,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The limits in force, which also hold for open connections.
+    pub(crate) limits: watch::Sender<RequestLimits>,
     pub(crate) versions: RefCell<HashMap<AdapterId, KnownVersion>>,
     pub(crate) server_list: RefCell<ServerList>,
     pub(crate) placement: RefCell<Placement>,
@@ -53,6 +55,8 @@
     pub(crate) stream_versions: StreamVersions,
     /// Lost connections whose servers may have crashed.
     pub(crate) crash_detector: RefCell<CrashDetector>,
+    /// Servers that are known to leave.
+    pub(crate) departures: RefCell<Departures>,
     /// Contents that crashed servers.
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crash_gossip: CrashGossip,
@@ -96,6 +100,8 @@
             }
             return;
         }
+        self.limits
+            .send_if_modified(|limits| std::mem::replace(limits, catalog.limits) != catalog.limits);
         log::info!("configuration {} is in force; previous version {known:?}", catalog.version);
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         self.sync_engines();
@@ -166,6 +172,7 @@
         self.stream_versions.on_server_changes();
         let mut engines_changed = false;
         for change in changes {
+            self.departures.borrow_mut().on_server_change(&change, self.clock.now());
             let mut crashes =
                 self.crash_detector.borrow_mut().on_server_change(&change, self.clock.now());
             crashes.extend(self.crashed_loads(&change));
@@ -232,6 +239,9 @@
     pub(crate) fn on_server_notice(self: &Rc<Self>, server: &Server, notice: ServerNotice) {
         if self.placement.borrow_mut().on_server_notice(server, notice, self.clock.now()) {
             log::info!("server {} sent a notice: {notice:?}", server.id);
+            if notice.is_draining {
+                self.departures.borrow_mut().on_leaving(server, self.clock.now());
+            }
         }
         self.on_rate_limit(server, notice.rate_limit);
     }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -1,22 +1,25 @@
 //! Watches the platform's store: configurations, adapter versions, servers and leases.
 
-use guavaspread_fleet::{Backoff, LeaseAction, LeaseWrite};
+use guavaspread_fleet::{Backoff, FeedTiming, LeaseAction, LeaseWrite};
 
 use crate::platform::{Feed, FeedBatch, FeedRow, StoreError, WriteOutcome};
 use crate::prelude::*;
-use crate::settings::STORE_CALL_MARGIN_MS;
+use crate::settings::{STORE_CALL_MARGIN_MS, STORE_RETRY_INTERVAL_MS};
 use crate::state::EntryState;
 use crate::{feed_relay, lease_renewal};
 
 /// Interval between checks whether the feed relayed by a watcher is still fresh.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay before the first retry of a failed call to the store.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(STORE_RETRY_INTERVAL_MS);
 /// Longest delay between retries while the store rejects calls. It lies well below the time in
 /// which a configuration must take effect after an outage, `contact_ms` of the sites. Retries put
 /// no load on a store that is unreachable, so the delay does not grow in this case.
 const STORE_RETRY_INTERVAL_MAX: Duration = Duration::from_millis(1_200);
 
+/// The shortest wait of a read that may wait: shorter ones would return before most changes.
+const FEED_WAIT_MIN: Duration = Duration::from_millis(100);
+
 /// The longest interval between reads of the list of hosts in a zone without delegates.
 const HOSTS_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// How old the list of hosts may be when hosts have to agree on a coordinator or inform each other.
@@ -26,19 +29,26 @@
 pub(crate) async fn watch_feed(entry: Rc<EntryState>, feed: Feed) {
     let mut after: Option<u64> = None;
     let mut is_store_failing = false;
+    let mut is_relayed = false;
     let mut backoff = Backoff::new(STORE_RETRY_INTERVAL, STORE_RETRY_INTERVAL_MAX);
     loop {
         if after.is_some() && entry.feed_relay.is_fresh(feed, entry.clock.now()) {
             // A watcher of the zone relays the feed, so this host need not read it.
+            is_relayed = true;
             tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
             after = after.max(entry.feed_relay.revision(feed));
             continue;
         }
+        if std::mem::take(&mut is_relayed) {
+            // What made the watchers fall silent may have hit the channels to the store too.
+            entry.platform.store.close_idle_channels();
+        }
         let batch = match after {
             None => entry.platform.store.snapshot(feed).await,
             Some(after) => {
                 // After a failure the call only checks whether the store responds again.
-                let wait = if is_store_failing { Duration::ZERO } else { store_wait(&entry, feed) };
+                let wait = feed_timing(&entry, feed).wait;
+                let wait = if is_store_failing { Duration::ZERO } else { wait };
                 entry.platform.store.changes_since(feed, after, wait).await
             }
         };
@@ -53,12 +63,9 @@
                 after = Some(batch.revision.max(after.unwrap_or(0)));
                 entry.feed_relay.on_read(&entry, feed, &batch, is_snapshot);
                 apply_batch(&entry, feed, batch, is_snapshot, now);
-                match feed {
-                    Feed::Control => {}
-                    Feed::Servers => tokio::time::sleep(servers_interval(&entry)).await,
-                    Feed::StreamVersions => {
-                        tokio::time::sleep(feed_relay::STREAM_VERSIONS_FEED_INTERVAL).await;
-                    }
+                let interval = feed_timing(&entry, feed).interval;
+                if !interval.is_zero() {
+                    tokio::time::sleep(interval).await;
                 }
             }
             Err(StoreError::HistoryCompacted) => {
@@ -83,28 +90,34 @@
     }
 }
 
-/// Returns how long the store may wait for a change before it responds.
+/// Returns how often this host reads a feed.
 ///
-/// A call in flight when the network is partitioned blocks the feed until the call times out. The
-/// wait must therefore not be much longer than the time in which a configuration takes effect.
-fn store_wait(entry: &EntryState, feed: Feed) -> Duration {
-    if entry.feed_relay.has_followers() && feed != Feed::StreamVersions {
-        return feed_relay::CONTROL_FEED_WAIT;
-    }
+/// A call in flight when the network is partitioned, or when its channel falls silent, blocks the
+/// feed until the call times out. Both times are bounded so that the host is up to date in time.
+fn feed_timing(entry: &EntryState, feed: Feed) -> FeedTiming {
     let cfg = entry.cfg.borrow();
-    match feed {
-        Feed::Control => Duration::from_millis(cfg.apply_ms),
-        Feed::Servers => Duration::from_millis(cfg.drain_ms),
-        Feed::StreamVersions => Duration::ZERO,
-    }
-}
-
-/// Returns the interval between reads of the servers feed, which changes all the time.
-fn servers_interval(entry: &EntryState) -> Duration {
-    if entry.feed_relay.has_followers() {
-        return feed_relay::SERVERS_FEED_INTERVAL;
-    }
-    Duration::from_millis(entry.cfg.borrow().drain_ms.saturating_sub(STORE_CALL_MARGIN_MS + 400))
+    let has_followers = entry.feed_relay.has_followers();
+    let ms = Duration::from_millis;
+    let usual = match feed {
+        Feed::StreamVersions => {
+            let interval = feed_relay::STREAM_VERSIONS_FEED_INTERVAL;
+            return FeedTiming { interval, wait: Duration::ZERO };
+        }
+        Feed::Control if has_followers => {
+            FeedTiming { interval: Duration::ZERO, wait: feed_relay::CONTROL_FEED_WAIT }
+        }
+        Feed::Control => FeedTiming { interval: Duration::ZERO, wait: ms(cfg.apply_ms) },
+        // The servers feed changes all the time.
+        Feed::Servers if has_followers => FeedTiming {
+            interval: feed_relay::SERVERS_FEED_INTERVAL,
+            wait: feed_relay::CONTROL_FEED_WAIT,
+        },
+        Feed::Servers => {
+            let interval = cfg.drain_ms.saturating_sub(STORE_CALL_MARGIN_MS + 400);
+            FeedTiming { interval: ms(interval), wait: ms(cfg.drain_ms) }
+        }
+    };
+    usual.bounded(cfg.feed_cycle_max(), FEED_WAIT_MIN)
 }
 
 /// Applies rows of a feed that this host read or a watcher relayed.
--- a/crates/fleet/src/crash_detector.rs
+++ b/crates/fleet/src/crash_detector.rs
@@ -9,6 +9,10 @@
 //! incarnation has ended: its address refuses connections, another server responds there, a new
 //! incarnation has started, or its row was removed. An announced shutdown and a network
 //! partition are attributed to no request.
+//!
+//! A server that ends silently looks like a partitioned one: its connections time out and its row
+//! expires. Its losses are kept over the removal of the row, until the same incarnation is listed
+//! again (a partition) or another one takes its place (a crash).
 
 use std::net::SocketAddr;
 
@@ -21,6 +25,9 @@
 /// expires after three of the intervals at which the server writes it, and the update from the
 /// store takes time to arrive.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(8);
+/// How long the losses of a silent server are kept after the removal of its row: the time in which
+/// a server is expected to be replaced. A later start says nothing about the lost one.
+const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(30);
 /// A server that responds within this time after the loss of a connection did not crash,
 /// because a restart takes longer.
 const RESTART_TIME_MIN: Duration = Duration::from_millis(150);
@@ -111,15 +118,41 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     address: SocketAddr,
+    service: Arc<str>,
+    zone: Arc<str>,
     lost: Vec<LostConnection>,
     evidence: Option<CrashEvidence>,
     is_probing: bool,
     /// The number of consecutive probes without a response.
     failed_probes: usize,
     updated_at: Duration,
+    /// When the server's row was removed.
+    removed_at: Option<Duration>,
 }
 
 impl Suspect {
+    /// Returns whether the losses are recent enough for a crash that is noticed now.
+    fn is_recent(&self, connection: &LostConnection, now: Duration) -> bool {
+        match self.removed_at {
+            Some(at) => now < at + REPLACEMENT_TIMEOUT,
+            None => now < connection.at + EVIDENCE_TIMEOUT,
+        }
+    }
+
+    /// Returns whether the suspect can no longer be attributed to a crash.
+    fn is_expired(&self, now: Duration) -> bool {
+        match self.removed_at {
+            Some(at) => now >= at + REPLACEMENT_TIMEOUT,
+            None => now >= self.updated_at + EVIDENCE_TIMEOUT,
+        }
+    }
+
+    /// Returns whether the server fell silent, was removed, and is still to be replaced.
+    fn awaits_replacement(&self, now: Duration) -> bool {
+        let is_silent = |c: &LostConnection| !c.has_responded && c.loss == ConnectionLoss::TimedOut;
+        self.removed_at.is_some() && !self.is_expired(now) && self.lost.iter().any(is_silent)
+    }
+
     /// Adds a lost connection; one entry stands for all that carried the same content, because
     /// requests in flight at a server share prompt parts.
     fn add(&mut self, lost: LostConnection) {
@@ -163,11 +196,14 @@
         }
         let suspect = self.suspects.entry(incarnation).or_insert_with(|| Suspect {
             address: server.address,
+            service: server.service.clone(),
+            zone: server.zone.clone(),
             lost: Vec::new(),
             evidence: None,
             is_probing: false,
             failed_probes: 0,
             updated_at: now,
+            removed_at: None,
         });
         suspect.updated_at = now;
         if let Some(evidence) = suspect.evidence {
@@ -238,26 +274,7 @@
     /// Applies a change of the server list; returns the crashes that the change proves.
     pub fn on_server_change(&mut self, change: &ServerChange, now: Duration) -> Vec<ServerCrash> {
         match change {
-            ServerChange::Started(new) => {
-                let has_crashed =
-                    |(id, started_at_ms): &Incarnation, suspect: &Suspect| match *id == new.id {
-                        true => *started_at_ms < new.started_at_ms,
-                        false => suspect.address == new.address,
-                    };
-                let crashed_incarnations: Vec<Incarnation> = self
-                    .suspects
-                    .iter()
-                    .filter(|(incarnation, suspect)| has_crashed(incarnation, suspect))
-                    .map(|(incarnation, _)| incarnation.clone())
-                    .collect();
-                let crashes = crashed_incarnations.iter().flat_map(|incarnation| {
-                    let is_same = incarnation.0 == new.id;
-                    let evidence =
-                        if is_same { CrashEvidence::Restarted } else { CrashEvidence::Replaced };
-                    self.attribute(incarnation, evidence, now)
-                });
-                crashes.collect()
-            }
+            ServerChange::Started(new) => self.on_started(new, now),
             ServerChange::Removed(old) if old.is_ready() => {
                 self.attribute(&(old.id.clone(), old.started_at_ms), CrashEvidence::RowRemoved, now)
             }
@@ -267,6 +284,43 @@
         }
     }
 
+    fn on_started(&mut self, new: &Server, now: Duration) -> Vec<ServerCrash> {
+        // The same incarnation is listed again, so it was partitioned.
+        self.suspects.remove(&(new.id.clone(), new.started_at_ms));
+        let has_crashed = |(id, started_at_ms): &Incarnation, suspect: &Suspect| match *id == new.id
+        {
+            true => *started_at_ms < new.started_at_ms,
+            false => suspect.address == new.address,
+        };
+        let suspects = self.suspects.iter();
+        let mut crashed: Vec<Incarnation> = suspects
+            .filter(|(incarnation, suspect)| has_crashed(incarnation, suspect))
+            .map(|(incarnation, _)| incarnation.clone())
+            .collect();
+        if crashed.is_empty() {
+            crashed.extend(self.replaced_elsewhere(new, now));
+        }
+        let crashes = crashed.iter().flat_map(|incarnation| {
+            let is_same = incarnation.0 == new.id;
+            let evidence = if is_same { CrashEvidence::Restarted } else { CrashEvidence::Replaced };
+            self.attribute(incarnation, evidence, now)
+        });
+        crashes.collect()
+    }
+
+    /// Returns the silent server that `new` replaces at another address: the one of its service and
+    /// zone that was removed first. The start shows that the zone is not partitioned.
+    fn replaced_elsewhere(&self, new: &Server, now: Duration) -> Option<Incarnation> {
+        let is_replaced = |suspect: &Suspect| {
+            suspect.service == new.service
+                && suspect.zone == new.zone
+                && suspect.awaits_replacement(now)
+        };
+        let suspects = self.suspects.iter().filter(|(_, suspect)| is_replaced(suspect));
+        let first = suspects.min_by_key(|(_, suspect)| suspect.removed_at);
+        first.map(|(incarnation, _)| incarnation.clone())
+    }
+
     fn attribute(
         &mut self,
         incarnation: &Incarnation,
@@ -274,7 +328,7 @@
         now: Duration,
     ) -> Vec<ServerCrash> {
         let Some(suspect) = self.suspects.get_mut(incarnation) else { return Vec::new() };
-        let proves = |connection: &&LostConnection| match evidence {
+        let proves = |connection: &LostConnection| match evidence {
             // The response to the probe may have come from the new incarnation.
             CrashEvidence::Restarted => true,
             CrashEvidence::Refused | CrashEvidence::Replaced => !connection.has_responded,
@@ -284,23 +338,27 @@
                 !connection.has_responded && connection.loss != ConnectionLoss::TimedOut
             }
         };
-        let lost = std::mem::take(&mut suspect.lost);
-        let recent = lost.iter().filter(|c| now < c.at + EVIDENCE_TIMEOUT).filter(proves);
-        let crash = |c: &LostConnection| ServerCrash {
+        let mut lost = std::mem::take(&mut suspect.lost);
+        lost.retain(|connection| suspect.is_recent(connection, now));
+        let (proven, unproven): (Vec<_>, Vec<_>) = lost.into_iter().partition(proves);
+        let crash = |c: LostConnection| ServerCrash {
             content: c.content,
             server: incarnation.0.clone(),
             started_at_ms: incarnation.1,
             evidence,
         };
-        let crashes = recent.map(crash).collect();
-        if evidence != CrashEvidence::RowRemoved {
+        let crashes = proven.into_iter().map(crash).collect();
+        if evidence == CrashEvidence::RowRemoved {
+            suspect.removed_at = Some(now);
+            suspect.lost = unproven;
+        } else {
             suspect.evidence = Some(evidence);
         }
         crashes
     }
 
     fn expire(&mut self, now: Duration) {
-        self.suspects.retain(|_, suspect| now < suspect.updated_at + EVIDENCE_TIMEOUT);
+        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
     }
 
     fn evict(&mut self) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! | task | types |
 //! |---|---|
 //! | find the route of a request | [`Catalog`], [`Route`] |
+//! | apply the limits in force to open connections | [`CallerConnection`], [`ConnectionAction`] |
 //! | track the backend servers | [`ServerList`], [`Server`] |
 //! | notice that the store came back from an older copy | [`StoreEra`], [`revision`] |
 //! | choose a server | [`Placement`], [`Pick`] |
@@ -18,6 +19,7 @@
 //! | acquire and renew leases on engines | [`LeaseManager`], [`LeaseAction`] |
 //! | batch the lease renewals of a zone | [`RenewalBatch`] |
 //! | elect the watchers of a zone | [`zone_watchers`], [`WatcherFreshness`] |
+//! | read a feed often enough to notice a silent channel | [`FeedTiming`] |
 //! | cache which engine has which adapter loaded | [`GrantCache`] |
 //! | attribute server crashes to requests | [`CrashDetector`], [`ServerCrash`] |
 //! | quarantine content that crashes servers | [`Quarantine`], [`Admission`] |
@@ -25,6 +27,7 @@
 //! | divide the retry budget of a service among hosts | [`RetryShares`] |
 //! | forward only complete events of a stream | [`EventFramer`] |
 //! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
+//! | tell a complete response without a length from a cut one | [`ResponseEnd`], [`Departures`] |
 //! | know which software version began a stream | [`VersionHistory`] |
 //! | decide whether a failed attempt may be retried | [`Attempts`], [`RetryDecision`] |
 //!
@@ -34,11 +37,13 @@
 mod adapter_scheduler;
 mod attempts;
 mod backoff;
+mod caller_connection;
 mod catalog;
 mod crash_detector;
 mod engine_command;
 mod event_framer;
 mod event_scanner;
+mod feed_timing;
 mod grant_cache;
 mod lease;
 mod notices;
@@ -51,6 +56,7 @@
 mod quarantine;
 mod rate_limit;
 mod renewal_batch;
+mod response_end;
 mod retry_shares;
 mod revision;
 mod server_list;
@@ -61,6 +67,7 @@
 pub use adapter_scheduler::AdapterScheduler;
 pub use attempts::{AttemptOutcome, Attempts, RetryDecision};
 pub use backoff::Backoff;
+pub use caller_connection::{CallerConnection, ConnectionAction};
 pub use catalog::{
     Catalog, EngineSpec, ModelSpec, RequestClass, RequestLimits, Route, Service, Target,
 };
@@ -70,6 +77,7 @@
 pub use engine_command::{CommandKind, CommandResult, EngineCommand, Readiness, SchedulerStep};
 pub use event_framer::EventFramer;
 pub use event_scanner::{EventScanner, StreamPosition};
+pub use feed_timing::FeedTiming;
 pub use grant_cache::{Grant, GrantCache};
 pub use lease::{
     Claim, EraCondition, EraStart, HostLease, LeaseAction, LeaseManager, LeaseSummary, LeaseTable,
@@ -87,6 +95,7 @@
 pub use quarantine::{Admission, ContentReport, ContentSummary, Quarantine, tracking_hosts};
 pub use rate_limit::{LimitChange, LimitReport, NamedLimit, RateLimit, RateLimits};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
+pub use response_end::{Departures, ResponseEnd, ServerStanding};
 pub use retry_shares::RetryShares;
 pub use revision::{ERA_MAX, revision, revision_era, revision_number};
 pub use server_list::{
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -337,6 +337,11 @@
         }
     }
 
+    /// Returns the number of this host's requests in flight at a server; 0 if it was removed.
+    pub fn in_flight(&self, key: PlacementKey) -> u32 {
+        self.candidates.get(key).map_or(0, |candidate| candidate.in_flight)
+    }
+
     /// Records that a request sent to a server has ended.
     pub fn on_request_ended(&mut self, key: PlacementKey) {
         if let Some(candidate) = self.candidates.get_mut(key) {
--- a/crates/fleet/tests/crash_detector.rs
+++ b/crates/fleet/tests/crash_detector.rs
@@ -214,6 +214,57 @@
     );
 }
 
+/// Returns another incarnation at the address `10.0.0.N:80` in a zone.
+fn start(id: &str, n: u8, zone: &str, started_at_ms: u64) -> Server {
+    let address = format!("10.0.0.{n}:80").parse().unwrap();
+    Server { address, zone: zone.into(), started_at_ms, ..server(id) }
+}
+
+/// A server goes dark under a request: its connection times out, then its row expires.
+#[test_case(start("b", 1, "north", 9), 4_500, Some(CrashEvidence::Replaced); "same address")]
+#[test_case(start("a", 1, "north", 9), 4_500, Some(CrashEvidence::Restarted); "same id")]
+#[test_case(start("a", 2, "south", 9), 4_500, Some(CrashEvidence::Restarted); "same id elsewhere")]
+#[test_case(start("b", 2, "north", 9), 4_500, Some(CrashEvidence::Replaced); "another address")]
+#[test_case(start("b", 2, "north", 9), 33_599, Some(CrashEvidence::Replaced); "replaced late")]
+#[test_case(start("b", 2, "north", 9), 33_600, None; "replaced too late")]
+#[test_case(start("b", 2, "south", 9), 4_500, None; "another zone")]
+#[test_case(start("a", 1, "north", 1), 4_500, None; "the partition has healed")]
+fn a_silent_loss_is_kept_over_the_removal_of_the_row(
+    new: Server,
+    at_ms: u64,
+    evidence: Option<CrashEvidence>,
+) {
+    let mut detector = with_lost_connection(ConnectionLoss::TimedOut);
+    let removed = ServerChange::Removed(Arc::new(server("a")));
+    assert_eq!(detector.on_server_change(&removed, NOW + ms(3_600)), Vec::new());
+    let is_other_zone = &*new.zone == "south" && evidence.is_none();
+    let started = ServerChange::Started(Arc::new(new));
+    let found = detector.on_server_change(&started, NOW + ms(at_ms));
+    assert_eq!(found, evidence.map(crash_of_a).unwrap_or_default());
+    // A crash is returned only once, and what was no evidence leaves the loss pending.
+    let other = ServerChange::Started(Arc::new(start("c", 3, "north", 10)));
+    let later = detector.on_server_change(&other, NOW + ms(at_ms + 1));
+    assert_eq!(later.len(), usize::from(is_other_zone));
+}
+
+/// One start replaces one of several silent servers, the one that was removed first.
+#[test]
+fn a_start_elsewhere_replaces_one_silent_server() {
+    let mut detector = CrashDetector::default();
+    for (n, id) in [(1, "a"), (2, "b")] {
+        let server = start(id, n, "north", 1);
+        let lost = (content(id), ConnectionLoss::TimedOut);
+        detector.on_connection_lost(&server, false, lost, NOW);
+        let removed = ServerChange::Removed(Arc::new(server));
+        detector.on_server_change(&removed, NOW + ms(3_600 - u64::from(n)));
+    }
+    for (n, id) in [(8, "b"), (9, "a")] {
+        let started = ServerChange::Started(Arc::new(start(&format!("new-{n}"), n, "north", 9)));
+        let found = detector.on_server_change(&started, NOW + ms(4_500));
+        assert_eq!(found.iter().map(|crash| crash.content).collect::<Vec<_>>(), [content(id)]);
+    }
+}
+
 /// Requests in flight at a server share prompt parts, which must not fill the record of the server.
 #[test]
 fn lost_connections_with_the_same_content_are_recorded_once() {
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -43,6 +43,8 @@
     BodyTooLarge = 1004, 413, "the body exceeds the limit";
     /// The caller did not send the whole request in time.
     RequestTimeout = 1005, 408, "the request arrived too slowly";
+    /// The header section exceeds the limit.
+    HeadTooLarge = 1006, 431, "the header section exceeds the limit";
     /// The request has no bearer key, or the key is unknown.
     BadKey = 1101, 401, "the key is missing or unknown";
     /// The key belongs to another organisation.
