--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -62,16 +62,13 @@
 /// Timeout of a read of the store, in addition to the requested wait, in milliseconds. A slow store
 /// takes 240 ms (60 times 4 ms).
 pub const STORE_READ_TIMEOUT_MS: u64 = 800;
-/// Delay before the first retry of a failed call to the store, in milliseconds.
-pub(crate) const STORE_RETRY_INTERVAL_MS: u64 = 300;
 /// Time for the read after a silent channel was noticed, and for the changes to take effect, in
 /// milliseconds.
 const STORE_CATCH_UP_MS: u64 = 400;
 /// The shortest time for the interval between two reads of a feed and the wait of a read, in
 /// milliseconds. With less, the hosts would read without a pause.
-const FEED_CYCLE_MIN_MS: u64 = 500;
-const CONTACT_MIN_MS: u64 =
-    FEED_CYCLE_MIN_MS + STORE_READ_TIMEOUT_MS + STORE_RETRY_INTERVAL_MS + STORE_CATCH_UP_MS;
+const FEED_CYCLE_MIN_MS: u64 = 800;
+const CONTACT_MIN_MS: u64 = FEED_CYCLE_MIN_MS + STORE_READ_TIMEOUT_MS + STORE_CATCH_UP_MS;
 
 /// Longest graceful shutdown, in seconds. A time that no duration holds would end the process when
 /// it stops.
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -4,14 +4,15 @@
 
 use crate::platform::{Feed, FeedBatch, FeedRow, StoreError, WriteOutcome};
 use crate::prelude::*;
-use crate::settings::{STORE_CALL_MARGIN_MS, STORE_RETRY_INTERVAL_MS};
+use crate::settings::STORE_CALL_MARGIN_MS;
 use crate::state::EntryState;
 use crate::{feed_relay, lease_renewal};
 
 /// Interval between checks whether the feed relayed by a watcher is still fresh.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// Delay before the first retry of a failed call to the store.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(STORE_RETRY_INTERVAL_MS);
+/// Delay before the retry of a failed call to the store; a read on a channel that may have fallen
+/// silent is first retried at once.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest delay between retries while the store rejects calls. It lies well below the time in
 /// which a configuration must take effect after an outage, `contact_ms` of the sites. Retries put
 /// no load on a store that is unreachable, so the delay does not grow in this case.
@@ -76,14 +77,19 @@
                 after = None;
             }
             Err(e) => {
-                if !std::mem::replace(&mut is_store_failing, true) {
+                let is_first = !std::mem::replace(&mut is_store_failing, true);
+                if is_first {
                     log::warn!("reading feed {feed:?} failed, will retry: {e}");
                 }
                 if feed == Feed::Servers {
                     entry.server_list.borrow_mut().on_store_unavailable(now);
                 }
-                let delay =
-                    if e.has_reached_store() { backoff.on_failure() } else { STORE_RETRY_INTERVAL };
+                let delay = match (e.has_reached_store(), is_first) {
+                    (true, _) => backoff.on_failure(),
+                    // The channel may have fallen silent, while a new one works.
+                    (false, true) => Duration::ZERO,
+                    (false, false) => STORE_RETRY_INTERVAL,
+                };
                 tokio::time::sleep(delay).await;
             }
         }
