--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -172,6 +172,13 @@
         })
     }
 
+    /// Returns the time since the store last responded to this host, or to a watcher that it follows.
+    pub(crate) fn data_age(&self, feed: Feed, now: Duration) -> Duration {
+        let relayed = self.feed(feed);
+        let read_at = relayed.read_at.get().max(relayed.freshness.borrow().latest_at());
+        read_at.map_or(Duration::MAX, |at| now.saturating_sub(at))
+    }
+
     fn on_feed_update(&self, entry: &Rc<EntryState>, watcher: SocketAddr, update: FeedUpdate) {
         let now = entry.clock.now();
         if let Some((feed, batch)) = update.batch {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -8,8 +8,8 @@
 use std::net::IpAddr;
 
 use guavaspread_fleet::{
-    AdapterId, AttemptOutcome, Attempts, Availability, Pick, PlacementKey, Prompt, RequestClass,
-    RetryDecision, Route, Server, ServerFilter,
+    AdapterId, AttemptOutcome, Attempts, Availability, Caller, Pick, PlacementKey, Prompt,
+    RequestClass, RetryDecision, Route, Server, ServerFilter,
 };
 use guavaspread_model::{ContentId, Refusal};
 use http::{Request, Response, header, request};
@@ -20,7 +20,7 @@
 use crate::connection_pool::{Framing, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
-use crate::platform::RequestInfo;
+use crate::platform::{RequestInfo, Sender};
 use crate::prelude::*;
 use crate::rate_limits::Permit;
 use crate::record::{Record, Step};
@@ -71,6 +71,10 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) info: RequestInfo,
+    /// Who sent the request.
+    pub(crate) sender: Caller,
+    /// Whether callers need keys.
+    pub(crate) has_keys: bool,
     /// Identifies the request's content, across repeats by the caller.
     pub(crate) content: ContentId,
     pub(crate) head: request::Parts,
@@ -290,6 +294,24 @@
         Selection::Server((key, server), version, hold)
     }
 
+    /// Returns the priority; that of the organisation goes before that of the route.
+    fn priority(&self) -> u8 {
+        let organisation = match &self.sender {
+            Caller::Organisation(organisation) => organisation.priority,
+            Caller::Anonymous | Caller::Unknown => None,
+        };
+        organisation.unwrap_or(self.route.priority)
+    }
+
+    /// Returns who sent the request, as its server is told.
+    fn forwarded_sender(&self) -> Sender<'_> {
+        match &self.sender {
+            Caller::Organisation(organisation) => Sender::Organisation(&organisation.name),
+            Caller::Anonymous | Caller::Unknown if self.has_keys => Sender::Anonymous,
+            Caller::Anonymous | Caller::Unknown => Sender::Unchecked,
+        }
+    }
+
     fn record_demand(&self, now: Duration) {
         if let Some(id) = self.adapter() {
             self.entry.placement.borrow_mut().record_demand(&id, now);
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -223,8 +223,8 @@
         strip_hop_by_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
-        let forward_info =
-            ForwardInfo { server, remaining, version, priority: self.route.priority };
+        let (priority, sender) = (self.priority(), self.forwarded_sender());
+        let forward_info = ForwardInfo { server, remaining, version, priority, sender };
         self.entry.platform.protocol.set_forward_headers(&mut headers, &forward_info);
         *req.headers_mut() = headers;
         req
--- a/crates/entry/src/forward/permit.rs
+++ b/crates/entry/src/forward/permit.rs
@@ -36,7 +36,7 @@
             // The rest of the time is left for the response.
             false => self.response_due.saturating_sub(now) / 2,
         };
-        let priority = self.route.priority;
+        let priority = self.priority();
         let permit = rate_limits::acquire_permit(&self.entry, server, priority, wait_max).await;
         if permit == Permit::Denied {
             record.add(Step::RateLimited { server: server.id.clone() });
@@ -48,7 +48,7 @@
 
     /// Lists the servers without permits for this request, and until when they have none.
     pub(super) fn without_permits(&self, now: Duration) -> Vec<(Arc<str>, Duration)> {
-        self.entry.placement.borrow().without_permits(&self.service, self.route.priority, now)
+        self.entry.placement.borrow().without_permits(&self.service, self.priority(), now)
     }
 
     /// Refuses the request; the times are when a busy server accepts requests again, and when a
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 
+use guavaspread_fleet::Caller;
 use guavaspread_model::{Code, ContentId, Refusal};
 use http::{HeaderName, HeaderValue, header, request};
 use http_body_util::{BodyExt, Limited};
@@ -55,6 +56,14 @@
     let route = catalog.find_route(&host, head.uri.path()).cloned();
     let route = route
         .ok_or_else(|| Refusal::not_run(Code::UnknownService, "no route leads from this path"))?;
+    let key = entry.platform.protocol.caller_key(&head);
+    let sender = catalog.identify(&route, key);
+    if let Caller::Organisation(organisation) = &sender {
+        record.organisation = Some(organisation.name.clone());
+    }
+    if let Some(refusal) = entry.check_caller(&sender) {
+        return Err(refusal);
+    }
     let info = info.map_err(malformed)?;
     // A stream is continued by the service that began it.
     let first_id = info.resumes.as_ref().filter(|_| route.has_resumable_streams());
@@ -84,6 +93,8 @@
         route,
         service,
         info,
+        sender,
+        has_keys: catalog.organisations().is_some(),
         content,
         head,
         body,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod admission;
 mod body;
 mod caller_io;
+mod callers;
 mod clock;
 mod connection_pool;
 mod crash_gossip;
@@ -49,7 +50,7 @@
 pub use connection_pool::{ConnectionPool, ResponseBody, SendError, ServerResponse};
 pub use platform::{
     EngineClient, EngineReport, Feed, FeedBatch, FeedRow, ForwardInfo, Platform, PlatformClients,
-    Protocol, RequestInfo, ResponseInfo, Store, StoreError, StreamVersionRow, WriteOutcome,
+    Protocol, RequestInfo, ResponseInfo, Sender, Store, StoreError, StreamVersionRow, WriteOutcome,
 };
 pub use process::run;
 pub use settings::{EntrySettings, STORE_READ_TIMEOUT_MS, SettingsError};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -83,6 +83,7 @@
     pub(crate) engines_lost: Counter,
     /// Configurations that were read and are older than the one in force.
     pub(crate) configs_outdated: Counter,
+    pub(crate) unknown_keys: Counter,
 }
 
 /// Creates a histogram with buckets from 2 ms to 16 s, each twice the one before.
@@ -123,6 +124,7 @@
             store_restores: Counter::default(),
             engines_lost: Counter::default(),
             configs_outdated: Counter::default(),
+            unknown_keys: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
@@ -223,6 +225,11 @@
             "Requests refused because every server was at its rate limit",
             metrics.rate_limited_refusals.clone(),
         );
+        registry.register(
+            "unknown_keys",
+            "Requests refused because their keys are missing or unknown",
+            metrics.unknown_keys.clone(),
+        );
         registry.register(
             "sends_to_unavailable",
             "Requests sent to servers known to accept none",
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -235,6 +235,19 @@
     pub prompt_tokens: u32,
     /// The parts of the prompt that other requests may share; none if not stated.
     pub prompt_parts: PromptParts,
+    /// The tokens of the prompt and the most that may be generated, if stated.
+    pub tokens: Option<u64>,
+}
+
+/// Who sent a request, as its server is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender<'a> {
+    /// Callers need no keys; the headers stay as they are.
+    Unchecked,
+    /// The route needs no key.
+    Anonymous,
+    /// The organisation that has the request's key.
+    Organisation(&'a str),
 }
 
 /// The properties that an entry host adds to a forwarded request.
@@ -248,6 +261,8 @@
     pub version: Option<u64>,
     /// The priority; 0 is the highest.
     pub priority: u8,
+    /// Who sent the request.
+    pub sender: Sender<'a>,
 }
 
 /// The properties of a server's response, read from its head.
@@ -283,6 +298,9 @@
     /// Returns the reason if the head is malformed.
     fn parse_request(&self, head: &request::Parts) -> Result<RequestInfo, String>;
 
+    /// Returns the key of a caller's request; `None` if it has none, or several.
+    fn caller_key<'a>(&self, head: &'a request::Parts) -> Option<&'a [u8]>;
+
     /// Rewrites the headers of a caller's request for the server that it is forwarded to.
     fn set_forward_headers(&self, headers: &mut HeaderMap, forward_info: &ForwardInfo<'_>);
 
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -55,6 +55,7 @@
     service: &'a str,
     model: Option<&'a str>,
     adapter: Option<&'a str>,
+    organisation: Option<&'a str>,
     content: Option<String>,
     config: u64,
     /// The caller's version of HTTP; before 1.1, only the end of the connection ends a stream.
@@ -78,6 +79,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) model: Option<Arc<str>>,
     pub(crate) adapter: Option<Arc<str>>,
+    /// The organisation whose key the request has.
+    pub(crate) organisation: Option<Arc<str>>,
     /// Identifies the request's content, across repeats by the caller.
     pub(crate) content: Option<ContentId>,
     /// The problem code, if this host generated the response.
@@ -104,6 +107,7 @@
             service: "".into(),
             model: None,
             adapter: None,
+            organisation: None,
             content: None,
             code: None,
             config: entry.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version),
@@ -174,6 +178,7 @@
             service: &self.service,
             model: self.model.as_deref(),
             adapter: self.adapter.as_deref(),
+            organisation: self.organisation.as_deref(),
             content: self.content.map(|content| content.to_string()),
             config: self.config,
             http: format!("{:?}", self.http),
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -47,6 +47,23 @@
         .with_retry_after_ms(NOT_READY_RETRY_AFTER_MS)
 }
 
+/// Refuses a request whose key is missing or names nobody.
+pub(crate) fn unknown_key() -> Refusal {
+    Refusal::not_run(Code::BadKey, "the key is missing or unknown")
+}
+
+/// Refuses a request with a key that may have been taken away: the store was not heard of for long.
+pub(crate) fn keys_in_doubt() -> Refusal {
+    Refusal::not_run(Code::ConfigInDoubt, "which keys hold is not known here at the moment")
+        .with_retry_after_ms(NO_SERVER_RETRY_AFTER_MS)
+}
+
+/// Refuses a request beyond the organisation's quota, which has room again after `wait`.
+pub(crate) fn over_quota(wait: Duration) -> Refusal {
+    Refusal::not_run(Code::OverQuota, "the organisation is beyond its quota")
+        .with_retry_after_ms(millis(wait).max(1))
+}
+
 /// Refuses a malformed request.
 pub(crate) fn malformed(detail: impl Into<String>) -> Refusal {
     Refusal::not_run(Code::MalformedRequest, detail)
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -41,6 +41,12 @@
     /// milliseconds.
     #[serde(default = "default_contact_ms")]
     pub contact_ms: u64,
+    /// Whether a host that can't know of keys that were taken away refuses requests with keys.
+    #[serde(default)]
+    pub strict_revoke: bool,
+    /// How old the host's configuration may be for that, in milliseconds.
+    #[serde(default = "default_revoke_ms")]
+    pub revoke_ms: u64,
     /// Retries to a service, as a share of its requests.
     pub retry_share: f64,
     /// Retries to a service beyond that share, summed over all entry hosts.
@@ -78,6 +84,10 @@
     3_000
 }
 
+fn default_revoke_ms() -> u64 {
+    5_000
+}
+
 fn default_first_start() -> bool {
     true
 }
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -5,6 +5,7 @@
 use guavaspread_model::content_hash;
 use serde::{Deserialize, Serialize};
 
+use crate::organisations::{Caller, Organisations};
 use crate::prelude::*;
 
 /// Timeouts of its route for which a stream may last: the last try to take it up may begin when the
@@ -54,6 +55,8 @@
     pub priority: u8,
     /// The maximum number of servers to which one request of a caller is sent.
     pub attempts_max: u32,
+    /// Whether requests need no key where organisations have keys.
+    pub is_public: bool,
     /// The services that receive the requests.
     pub targets: Vec<Target>,
 }
@@ -168,6 +171,8 @@
     pub version: u64,
     /// Limits on callers' requests.
     pub limits: RequestLimits,
+    /// The organisations whose callers need keys; `None` if nobody needs one.
+    organisations: Option<Arc<Organisations>>,
     services: HashMap<Arc<str>, Arc<Service>>,
     /// Routes by host, sorted by descending prefix length.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -189,7 +194,27 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Catalog { version, limits, services, routes: by_host }
+        Catalog { version, limits, organisations: None, services, routes: by_host }
+    }
+
+    /// Returns the catalog with organisations, whose callers need keys.
+    pub fn with_organisations(self, organisations: Organisations) -> Self {
+        Catalog { organisations: Some(Arc::new(organisations)), ..self }
+    }
+
+    /// Returns the organisations whose callers need keys; `None` if nobody needs one.
+    pub fn organisations(&self) -> Option<&Organisations> {
+        self.organisations.as_deref()
+    }
+
+    /// Returns who sent a request on a route with this key; `None` stands for no key, or several.
+    pub fn identify(&self, route: &Route, key: Option<&[u8]>) -> Caller {
+        let Some(organisations) = &self.organisations else { return Caller::Anonymous };
+        if route.is_public {
+            return Caller::Anonymous;
+        }
+        let organisation = key.and_then(|key| organisations.find(key));
+        organisation.cloned().map_or(Caller::Unknown, Caller::Organisation)
     }
 
     /// Returns the route with the longest prefix of `path`.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | find the route of a request | [`Catalog`], [`Route`] |
 //! | apply the limits in force to open connections | [`CallerConnection`], [`ConnectionAction`] |
+//! | find the organisation of a key | [`Organisations`], [`Caller`] |
 //! | track the backend servers | [`ServerList`], [`Server`] |
 //! | notice that the store came back from an older copy | [`StoreEra`], [`revision`] |
 //! | choose a server | [`Placement`], [`Pick`] |
@@ -47,6 +48,7 @@
 mod grant_cache;
 mod lease;
 mod notices;
+mod organisations;
 mod permits;
 mod persisted_contents;
 mod placement;
@@ -84,6 +86,9 @@
     LeaseTimes, LeaseWrite, LostEngine, NewEra,
 };
 pub use notices::{Availability, ServerNotice, ServerNotices};
+pub use organisations::{
+    Caller, KEY_BYTES_MAX, KeySalt, Organisation, Organisations, Quota, QuotaUnit, UnusedKey,
+};
 pub use permits::{
     CoordinatorRole, PermitDecision, PermitIssuer, PermitRequest, hosts_digest,
     permit_coordinators, zone_count,
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -90,6 +90,11 @@
         self.read_at.values().any(|at| now < *at + limit)
     }
 
+    /// Returns when any watcher is last known to have read the store.
+    pub fn latest_at(&self) -> Option<Duration> {
+        self.read_at.values().max().copied()
+    }
+
     /// Returns whether this watcher's data is younger than `limit`.
     pub fn is_watcher_fresh(&self, watcher: SocketAddr, limit: Duration, now: Duration) -> bool {
         self.read_at.get(&watcher).is_some_and(|at| now < *at + limit)
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -89,6 +89,8 @@
     StreamVersionUnknown = 1313, 503, "the version that began the stream is not known";
     /// The entry host that loads adapters on the engine does not respond, and no other one may yet.
     OwnerLost = 1314, 503, "no entry host may load the adapter on its engine yet";
+    /// The organisation sent more than its quota.
+    OverQuota = 1315, 429, "the organisation is beyond its quota";
     /// The backend server ended the response before it was complete.
     Cut = 1401, 502, "the answer was cut short";
     /// The backend server failed.
@@ -115,6 +117,8 @@
     ChangeInDoubt = 1604, 503, "the outcome of the change could not be read back";
     /// The statement does not parse.
     BadStatement = 1605, 400, "the statement does not parse";
+    /// An entry of the configuration is not used.
+    EntryUnused = 1606, 400, "an entry of the configuration is not used";
     /// The settings are invalid.
     BadSettings = 1701, 500, "the settings are wrong";
     /// The engine rejected a command with an old fencing number.
