--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -313,7 +313,9 @@
                 | PeerResponse::LeaseRenewed { .. }
                 | PeerResponse::Crashes(_)
                 | PeerResponse::Permit(_)
-                | PeerResponse::StreamVersion { .. },
+                | PeerResponse::StreamVersion { .. }
+                | PeerResponse::Quota { .. }
+                | PeerResponse::QuotaPong { .. },
             )
             | Err(_) => {
                 log::warn!("watcher {address} sent an unexpected message; closing the connection");
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -11,7 +11,7 @@
     AdapterId, AttemptOutcome, Attempts, Availability, Caller, Pick, PlacementKey, Prompt,
     RequestClass, RetryDecision, Route, Server, ServerFilter,
 };
-use guavaspread_model::{ContentId, Refusal};
+use guavaspread_model::{ContentId, Ran, Refusal};
 use http::{Request, Response, header, request};
 use hyper::body::Incoming;
 
@@ -22,6 +22,7 @@
 use crate::intake::prepare;
 use crate::platform::{RequestInfo, Sender};
 use crate::prelude::*;
+use crate::quotas::QuotaGrant;
 use crate::rate_limits::Permit;
 use crate::record::{Record, Step};
 use crate::refusals::{
@@ -75,6 +76,8 @@
     pub(crate) sender: Caller,
     /// Whether callers need keys.
     pub(crate) has_keys: bool,
+    /// The part of the organisation's quota that the request was granted.
+    pub(crate) quota: RefCell<QuotaGrant>,
     /// Identifies the request's content, across repeats by the caller.
     pub(crate) content: ContentId,
     pub(crate) head: request::Parts,
@@ -155,7 +158,7 @@
     async fn handle(self, mut record: Record) -> Response<CallerBody> {
         let software = match self.required_software().await {
             Ok(software) => software,
-            Err(refusal) => return refuse_request(record, &refusal),
+            Err(refusal) => return self.refuse(record, &refusal),
         };
         let mut progress = Progress { software, ..Progress::default() };
         match self.send(&mut progress, &mut record).await {
@@ -167,11 +170,18 @@
                     let in_flight = InFlight::start(&self.entry, PlacementKey::default());
                     self.forward_response(*response, in_flight, progress, record)
                 }
-                None => refuse_request(record, &refusal),
+                None => self.refuse(record, &refusal),
             },
         }
     }
 
+    fn refuse(&self, record: Record, refusal: &Refusal) -> Response<CallerBody> {
+        if refusal.ran == Ran::No {
+            self.quota.borrow_mut().give_back(&self.entry);
+        }
+        refuse_request(record, refusal)
+    }
+
     /// Sends the request to one server after another until one responds or it is given up.
     pub(crate) async fn send(&self, progress: &mut Progress, record: &mut Record) -> SendResult {
         loop {
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -85,6 +85,7 @@
         Ok(Err(e)) => return Err(malformed(format!("the body broke off: {e}"))),
         Err(_) => return Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
     };
+    let quota = entry.acquire_quota(&sender, &info).await?;
     entry.count_request(&service);
     let content = content_id(caller, &host, &head, &body);
     record.content = Some(content);
@@ -95,6 +96,7 @@
         info,
         sender,
         has_keys: catalog.organisations().is_some(),
+        quota: RefCell::new(quota),
         content,
         head,
         body,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod platform;
 mod prelude;
 mod process;
+mod quotas;
 mod rate_limits;
 mod read_budget;
 mod record;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -21,6 +21,15 @@
     pub(crate) own: String,
 }
 
+/// Labels of the counter of requests within quotas.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct QuotaLabels {
+    /// The organisation; empty for those beyond the first ones of the configuration.
+    pub(crate) organisation: String,
+    /// Whether the request was within the quota.
+    pub(crate) granted: bool,
+}
+
 /// Labels of the counter of server crashes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct CrashLabels {
@@ -84,6 +93,7 @@
     /// Configurations that were read and are older than the one in force.
     pub(crate) configs_outdated: Counter,
     pub(crate) unknown_keys: Counter,
+    pub(crate) quota_requests: Family<QuotaLabels, Counter>,
 }
 
 /// Creates a histogram with buckets from 2 ms to 16 s, each twice the one before.
@@ -125,6 +135,7 @@
             engines_lost: Counter::default(),
             configs_outdated: Counter::default(),
             unknown_keys: Counter::default(),
+            quota_requests: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
@@ -225,6 +236,11 @@
             "Requests refused because every server was at its rate limit",
             metrics.rate_limited_refusals.clone(),
         );
+        registry.register(
+            "quota_requests",
+            "Requests of organisations with a quota, granted or refused",
+            metrics.quota_requests.clone(),
+        );
         registry.register(
             "unknown_keys",
             "Requests refused because their keys are missing or unknown",
--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -39,6 +39,17 @@
         /// The stream.
         stream: u64,
     },
+    /// Asks whether a request is within an organisation's quota.
+    Quota(QuotaCall),
+    /// Gives back the cost of a granted request that has not run.
+    QuotaReturn {
+        /// The organisation.
+        organisation: Arc<str>,
+        /// The cost, in units of the quota.
+        cost: u64,
+    },
+    /// Tells the issuers of quotas that a zone reaches them.
+    QuotaPing(QuotaPing),
 }
 
 /// A message from the host that accepted the connection.
@@ -67,6 +78,57 @@
         /// The version; `None` if the stream did not begin at the sender of the reply.
         software: Option<Arc<str>>,
     },
+    /// Replies to a request within a quota.
+    Quota {
+        /// The id of the request.
+        request_id: u32,
+        /// How long the quota has no room, in milliseconds; `None` if the request is granted.
+        refused_ms: Option<u32>,
+    },
+    /// Replies to a ping.
+    QuotaPong {
+        /// The id of the request.
+        request_id: u32,
+        /// Digest of the hosts that the sender of the reply knows.
+        hosts_digest: u64,
+    },
+}
+
+/// The part of a host in a quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuotaRole {
+    /// Grants requests of all hosts.
+    Issuer,
+    /// As [`QuotaRole::Issuer`]; the receiver decides, also if it knows another issuer.
+    LastIssuer,
+    /// Grants requests of its zone while the issuer is out of reach.
+    Keeper,
+}
+
+/// Asks whether a request is within an organisation's quota.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaCall {
+    /// Links the reply to this request.
+    pub request_id: u32,
+    /// The organisation.
+    pub organisation: Arc<str>,
+    /// What the request counts, in units of the quota.
+    pub cost: u64,
+    /// The role in which the receiver is asked.
+    pub role: QuotaRole,
+}
+
+/// Tells the issuers of quotas that a zone reaches them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaPing {
+    /// Links the reply to this request.
+    pub request_id: u32,
+    /// The zone of the sender.
+    pub zone: Arc<str>,
+    /// The organisations.
+    pub organisations: Vec<Arc<str>>,
+    /// Digest of the hosts that the sender knows.
+    pub hosts_digest: u64,
 }
 
 /// Requests a permit to send a request to a server with a rate limit.
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! The server for the requests of other entry hosts.
 
 use futures::{SinkExt, StreamExt};
+use guavaspread_fleet::QuotaDecision;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
@@ -9,7 +10,8 @@
 use crate::feed_relay;
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{
-    AdapterReply, AdapterRequest, AdapterStatus, PeerRequest, PeerResponse, RenewalRequest,
+    AdapterReply, AdapterRequest, AdapterStatus, PeerRequest, PeerResponse, QuotaCall,
+    RenewalRequest,
 };
 use crate::peers::{QUEUE_CAPACITY, codec, frame};
 use crate::prelude::*;
@@ -109,6 +111,20 @@
                     );
                 }
             }
+            PeerRequest::Quota(call) => {
+                tokio::task::spawn_local(self.clone().reply_quota(call));
+            }
+            PeerRequest::QuotaReturn { organisation, cost } => {
+                self.entry.quotas.give_back(&organisation, cost);
+            }
+            PeerRequest::QuotaPing(ping) => {
+                let request_id = ping.request_id;
+                let hosts_digest = self.entry.on_quota_ping(&ping);
+                let reply = PeerResponse::QuotaPong { request_id, hosts_digest };
+                if self.tx.try_send(frame(&reply)).is_err() {
+                    log::debug!("a ping was not replied to: the peer's queue is full or closed");
+                }
+            }
             PeerRequest::WatchFeeds => {
                 tokio::task::spawn_local(feed_relay::relay_feeds(
                     self.entry.clone(),
@@ -137,6 +153,20 @@
         }
     }
 
+    async fn reply_quota(self, call: QuotaCall) {
+        let request_id = call.request_id;
+        let refused_ms = match self.entry.on_quota_call(call).await {
+            QuotaDecision::Granted => None,
+            QuotaDecision::Refused(wait) => {
+                Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX))
+            }
+        };
+        let reply = PeerResponse::Quota { request_id, refused_ms };
+        if self.tx.try_send(frame(&reply)).is_err() {
+            log::debug!("a quota's decision was not sent: the peer's queue is full or closed");
+        }
+    }
+
     async fn reply_renewal(self, RenewalRequest { request_id, lease }: RenewalRequest) {
         let renewal = self.entry.renewals.renew(&self.entry, lease).await;
         let response = PeerResponse::LeaseRenewed { request_id, renewal };
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -11,7 +11,8 @@
 use crate::connection_pool::connect;
 use crate::peer_message::{
     AdapterReply, AdapterRequest, AdapterStatus, CrashUpdate, CrashUpdateReply, LimitUpdate,
-    PeerRequest, PeerResponse, PermitCall, PermitReply, Renewal, RenewalRequest,
+    PeerRequest, PeerResponse, PermitCall, PermitReply, QuotaCall, QuotaPing, Renewal,
+    RenewalRequest,
 };
 use crate::prelude::*;
 
@@ -35,6 +36,8 @@
 const CRASH_UPDATE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a peer may take to decide on a permit, which it does without waiting.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a peer may take to decide on a request within a quota, or to reply to a ping.
+const QUOTA_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a peer may take to tell which version began a stream. A caller waits for it.
 const STREAM_VERSION_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a peer gets no requests after a timeout.
@@ -52,8 +55,14 @@
     Permit(PermitCall, oneshot::Sender<PermitReply>),
     RateLimit(LimitUpdate),
     StreamVersion(u64, oneshot::Sender<Option<Arc<str>>>),
+    Quota(QuotaCall, oneshot::Sender<QuotaAnswer>),
+    QuotaReturn(Arc<str>, u64),
+    QuotaPing(QuotaPing, oneshot::Sender<u64>),
 }
 
+/// How long a quota has no room, in milliseconds; `None` if the request is granted.
+type QuotaAnswer = Option<u32>;
+
 /// Keeps a connection to each peer that this host sends requests to.
 #[derive(Default)]
 pub(crate) struct Peers {
@@ -208,6 +217,64 @@
         tokio::time::timeout(STREAM_VERSION_TIMEOUT, reply_rx).await.ok()?.ok()?
     }
 
+    /// Asks the host at `address` whether a request is within a quota; `None` if it does not respond
+    /// in time.
+    pub(crate) async fn request_quota(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        call: QuotaCall,
+        clock: Clock,
+    ) -> Option<QuotaAnswer> {
+        let suspended_until = self.suspended_until.borrow().get(&address).copied();
+        if suspended_until.is_some_and(|until| clock.now() < until) {
+            return None;
+        }
+        let (reply_tx, reply_rx) = oneshot::channel();
+        self.connection(address).try_send(Outgoing::Quota(call, reply_tx)).ok()?;
+        match tokio::time::timeout(QUOTA_TIMEOUT, reply_rx).await {
+            Ok(Ok(answer)) => Some(answer),
+            Ok(Err(_)) | Err(_) => {
+                log::warn!("entry host {address} did not decide on a quota; suspending requests");
+                self.suspend(address, clock);
+                None
+            }
+        }
+    }
+
+    /// Gives back the cost of a request that the host at `address` granted and that has not run.
+    ///
+    /// If the message is lost, the organisation has so much less room.
+    pub(crate) fn return_quota(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        organisation: Arc<str>,
+        cost: u64,
+    ) {
+        let returned = Outgoing::QuotaReturn(organisation, cost);
+        if self.connection(address).try_send(returned).is_err() {
+            log::debug!("a quota was not returned to {address}: its queue is full or closed");
+        }
+    }
+
+    /// Pings the host at `address`; returns the digest of the hosts that it knows, `None` if it does
+    /// not respond in time.
+    ///
+    /// A host that is suspended is pinged all the same: the pings tell when it is back.
+    pub(crate) async fn ping_quota(
+        self: Rc<Self>,
+        address: SocketAddr,
+        ping: QuotaPing,
+    ) -> Option<u64> {
+        let (reply_tx, reply_rx) = oneshot::channel();
+        self.connection(address).try_send(Outgoing::QuotaPing(ping, reply_tx)).ok()?;
+        let digest = tokio::time::timeout(QUOTA_TIMEOUT, reply_rx).await.ok().and_then(Result::ok);
+        if digest.is_none() {
+            // The connection may have fallen silent.
+            self.connections.borrow_mut().remove(&address);
+        }
+        digest
+    }
+
     /// Sends the report of a server's limit to the host at `address`, without acknowledgement.
     ///
     /// A host that misses it learns the limit from the server's own responses.
@@ -245,6 +312,8 @@
     crash_updates: HashMap<u32, oneshot::Sender<CrashUpdateReply>>,
     permit_calls: HashMap<u32, oneshot::Sender<PermitReply>>,
     stream_versions: HashMap<u32, oneshot::Sender<Option<Arc<str>>>>,
+    quota_calls: HashMap<u32, oneshot::Sender<QuotaAnswer>>,
+    quota_pings: HashMap<u32, oneshot::Sender<u64>>,
     last_request_id: u32,
 }
 
@@ -290,6 +359,21 @@
                 self.stream_versions.insert(request_id, reply_tx);
                 PeerRequest::StreamVersion { request_id, stream }
             }
+            Outgoing::Quota(mut call, reply_tx) => {
+                call.request_id = self.next_request_id();
+                self.quota_calls.retain(|_, reply_tx| !reply_tx.is_closed());
+                self.quota_calls.insert(call.request_id, reply_tx);
+                PeerRequest::Quota(call)
+            }
+            Outgoing::QuotaReturn(organisation, cost) => {
+                PeerRequest::QuotaReturn { organisation, cost }
+            }
+            Outgoing::QuotaPing(mut ping, reply_tx) => {
+                ping.request_id = self.next_request_id();
+                self.quota_pings.retain(|_, reply_tx| !reply_tx.is_closed());
+                self.quota_pings.insert(ping.request_id, reply_tx);
+                PeerRequest::QuotaPing(ping)
+            }
             Outgoing::FirstToken(request_id) => PeerRequest::FirstToken(request_id),
             Outgoing::ReleaseAdapter(request_id) => PeerRequest::ReleaseAdapter(request_id),
         }
@@ -331,6 +415,20 @@
                 }
                 Next::Continue
             }
+            PeerResponse::Quota { request_id, refused_ms } => {
+                if let Some(reply_tx) = self.quota_calls.remove(&request_id) {
+                    // The receiver may have timed out.
+                    let _ = reply_tx.send(refused_ms);
+                }
+                Next::Continue
+            }
+            PeerResponse::QuotaPong { request_id, hosts_digest } => {
+                if let Some(reply_tx) = self.quota_pings.remove(&request_id) {
+                    // The receiver may have timed out.
+                    let _ = reply_tx.send(hosts_digest);
+                }
+                Next::Continue
+            }
             PeerResponse::FeedUpdate(_) => Next::Close,
         }
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -20,6 +20,7 @@
 use crate::peers::Peers;
 use crate::platform::{Feed, Platform, WriteOutcome};
 use crate::prelude::*;
+use crate::quotas::{self, Quotas};
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
 use crate::stream_versions::StreamVersions;
@@ -77,6 +78,7 @@
     spawn_local(store_watch::hold_leases(entry.clone()));
     spawn_local(feed_relay::follow_watchers(entry.clone()));
     spawn_local(lease_renewal::write_batches(entry.clone()));
+    spawn_local(quotas::ping_issuers(entry.clone()));
     spawn_local(crash_gossip::gossip(entry.clone()));
     spawn_local(crash_gossip::persist(entry.clone()));
     spawn_local(remove_expired(entry.clone()));
@@ -141,6 +143,7 @@
         owned_engines: OwnedEngines::default(),
         stream_versions: StreamVersions::default(),
         crash_detector: RefCell::default(),
+        quotas: Quotas::default(),
         departures: RefCell::default(),
         quarantine: RefCell::default(),
         hosts_read_at: Cell::default(),
--- a/crates/entry/src/rate_limits.rs
+++ b/crates/entry/src/rate_limits.rs
@@ -195,7 +195,7 @@
     }
 
     /// Reads the list of hosts again if a peer knows other hosts.
-    fn check_hosts(self: &Rc<Self>, peer_digest: u64) {
+    pub(crate) fn check_hosts(self: &Rc<Self>, peer_digest: u64) {
         if peer_digest != self.hosts_digest() {
             let entry = self.clone();
             tokio::task::spawn_local(async move { store_watch::refresh_hosts(&entry).await });
@@ -203,7 +203,7 @@
     }
 
     /// Lists the live hosts, by name.
-    fn known_hosts(&self) -> Vec<HostLease> {
+    pub(crate) fn known_hosts(&self) -> Vec<HostLease> {
         let mut hosts = self.announced_hosts.borrow().clone();
         let leases = self.leases.borrow();
         hosts.extend(
@@ -212,7 +212,7 @@
         hosts.into_values().collect()
     }
 
-    fn hosts_digest(&self) -> u64 {
+    pub(crate) fn hosts_digest(&self) -> u64 {
         hosts_digest(self.known_hosts().iter())
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,6 +19,7 @@
 use crate::peers::Peers;
 use crate::platform::PlatformClients;
 use crate::prelude::*;
+use crate::quotas::Quotas;
 use crate::settings::EntrySettings;
 use crate::stream_versions::StreamVersions;
 
@@ -65,6 +66,7 @@
     pub(crate) hosts_read_at: Cell<Option<Duration>>,
     /// Hosts that announced themselves as coordinators since the leases were last read.
     pub(crate) announced_hosts: RefCell<BTreeMap<Arc<str>, HostLease>>,
+    pub(crate) quotas: Quotas,
     /// Permits of the rate-limited servers that this host coordinates.
     pub(crate) permit_issuer: RefCell<PermitIssuer>,
     /// Becomes true when the process starts to shut down.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | respect drain and busy notices of servers | [`ServerNotices`], [`Availability`] |
 //! | track the rate limits that servers name | [`RateLimits`], [`RateLimit`] |
 //! | divide a server's rate limit among hosts | [`PermitIssuer`], [`permit_coordinators`] |
+//! | grant requests within organisations' quotas | [`QuotaLedger`], [`QuotaHosts`] |
 //! | schedule the load and unload commands to an engine | [`AdapterScheduler`], [`SchedulerStep`] |
 //! | schedule the prefills of an engine | [`PrefillQueue`], [`PrefillAdmission`] |
 //! | acquire and renew leases on engines | [`LeaseManager`], [`LeaseAction`] |
@@ -56,6 +57,7 @@
 mod prelude;
 mod prompt_parts;
 mod quarantine;
+mod quotas;
 mod rate_limit;
 mod renewal_batch;
 mod response_end;
@@ -98,6 +100,7 @@
 pub use prefill_queue::{PrefillAdmission, PrefillQueue, Prompt, PromptKey};
 pub use prompt_parts::{ClearedParts, PartsAdmission, PromptParts};
 pub use quarantine::{Admission, ContentReport, ContentSummary, Quarantine, tracking_hosts};
+pub use quotas::{QUOTA_PING_INTERVAL, QuotaDecision, QuotaHosts, QuotaLedger, QuotaUse};
 pub use rate_limit::{LimitChange, LimitReport, NamedLimit, RateLimit, RateLimits};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
 pub use response_end::{Departures, ResponseEnd, ServerStanding};
--- a/crates/fleet/tests/attempts.rs
+++ b/crates/fleet/tests/attempts.rs
@@ -21,6 +21,7 @@
         pause_objective: None,
         priority: 0,
         attempts_max,
+        is_public: false,
         targets: Vec::new(),
     }
 }
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -20,6 +20,7 @@
         pause_objective: None,
         priority: 0,
         attempts_max: 2,
+        is_public: false,
         targets: vec![Target { service: "booking".into(), weight: 1.0 }],
     }
 }
