--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -19,6 +19,9 @@
 /// Shortest retry delay while servers are at their rate limits. Callers that all come back for the
 /// next permit would mostly be refused again.
 const RATE_LIMITED_RETRY_AFTER_MIN_MS: u32 = 200;
+/// Shortest retry delay beyond a quota. A caller that returns at once would mostly meet the same
+/// refusal, as the header holds hundredths of a second.
+const OVER_QUOTA_RETRY_AFTER_MIN_MS: u32 = 50;
 /// Shortest retry delay for quarantined content.
 const QUARANTINED_RETRY_AFTER_MIN_MS: u32 = 5_000;
 /// Retry delay while this host starts or stops; the retry then reaches a host that is ready.
@@ -61,7 +64,7 @@
 /// Refuses a request beyond the organisation's quota, which has room again after `wait`.
 pub(crate) fn over_quota(wait: Duration) -> Refusal {
     Refusal::not_run(Code::OverQuota, "the organisation is beyond its quota")
-        .with_retry_after_ms(millis(wait).max(1))
+        .with_retry_after_ms(millis(wait).max(OVER_QUOTA_RETRY_AFTER_MIN_MS))
 }
 
 /// Refuses a malformed request.
