--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -187,9 +187,11 @@
         (directory.hosts_digest, directory.config) = (hosts_digest, config);
         directory.hosts.clear();
         let zone = self.cfg.borrow().zone.clone();
+        let tolerance = self.cfg.borrow().quota_tolerance();
         let organisations = catalog.as_ref().and_then(|catalog| catalog.organisations());
         for organisation in organisations.into_iter().flat_map(|all| all.iter()) {
             let Some(quota) = organisation.quota else { continue };
+            let quota = quota.with_tolerance(&tolerance);
             let selected = QuotaHosts::select(&organisation.name, &zone, &hosts);
             directory.hosts.insert(organisation.name.clone(), Rc::new((quota, selected)));
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
+use guavaspread_fleet::QuotaTolerance;
 use serde::Deserialize;
 
 use crate::prelude::*;
@@ -47,6 +48,15 @@
     /// How old the host's configuration may be for that, in milliseconds.
     #[serde(default = "default_revoke_ms")]
     pub revoke_ms: u64,
+    /// The window over which an organisation's quota is judged, in seconds.
+    #[serde(default)]
+    pub quota_window_s: f64,
+    /// How far the quota of a window may be exceeded, as a share of it.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// How far it may be exceeded beyond that share, in units of the quota.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Retries to a service, as a share of its requests.
     pub retry_share: f64,
     /// Retries to a service beyond that share, summed over all entry hosts.
@@ -155,6 +165,15 @@
         Duration::from_millis(self.contact_ms.saturating_sub(rest_ms))
     }
 
+    /// Returns how far quotas may be exceeded.
+    pub(crate) fn quota_tolerance(&self) -> QuotaTolerance {
+        QuotaTolerance {
+            window: Duration::from_secs_f64(self.quota_window_s.min(86_400.0)),
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+
     fn find_invalid(&self) -> Option<(&'static str, &'static str)> {
         if self.host.is_empty() {
             return Some(("host", "must not be empty"));
@@ -183,6 +202,16 @@
         if self.contact_ms < CONTACT_MIN_MS {
             return Some(("contact-ms", "must be at least 2000"));
         }
+        let tolerances = [
+            ("quota-window-s", self.quota_window_s),
+            ("quota-overage", self.quota_overage),
+            ("quota-slack", self.quota_slack),
+        ];
+        for (key, value) in tolerances {
+            if !(value.is_finite() && value >= 0.0) {
+                return Some((key, "must not be below 0"));
+            }
+        }
         if !(0.0..=1.0).contains(&self.retry_share) {
             return Some(("retry-share", "must be between 0 and 1"));
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -89,7 +89,8 @@
 };
 pub use notices::{Availability, ServerNotice, ServerNotices};
 pub use organisations::{
-    Caller, KEY_BYTES_MAX, KeySalt, Organisation, Organisations, Quota, QuotaUnit, UnusedKey,
+    Caller, KEY_BYTES_MAX, KeySalt, Organisation, Organisations, Quota, QuotaTolerance, QuotaUnit,
+    UnusedKey,
 };
 pub use permits::{
     CoordinatorRole, PermitDecision, PermitIssuer, PermitRequest, hosts_digest,
--- a/crates/fleet/src/organisations.rs
+++ b/crates/fleet/src/organisations.rs
@@ -14,6 +14,9 @@
 /// The longest key. Longer ones are no keys, as each request's key is hashed.
 pub const KEY_BYTES_MAX: usize = 512;
 const DIGEST_BYTES: usize = 16;
+/// The share of a quota's tolerance that bursts may use. The rest covers what keepers grant while a
+/// zone that is cut off is not known to be.
+const TOLERANCE_SHARE: f64 = 0.5;
 
 /// Random bytes that are hashed with each key.
 pub type KeySalt = [u8; 16];
@@ -42,6 +45,16 @@
 }
 
 impl Quota {
+    /// Returns the quota with a larger burst: what may be used of the tolerance of a window.
+    ///
+    /// A quota of `burst` alone refuses callers whose requests come unevenly, though they stay below
+    /// the limit over the window.
+    pub fn with_tolerance(self, tolerance: &QuotaTolerance) -> Self {
+        let window = self.rate_per_s * tolerance.window.as_secs_f64() + self.burst;
+        let allowed = window * tolerance.overage + tolerance.slack;
+        Quota { burst: self.burst + allowed * TOLERANCE_SHARE, ..self }
+    }
+
     /// Returns what a request counts that states this number of tokens.
     pub fn cost(&self, tokens: Option<u64>) -> f64 {
         match self.unit {
@@ -51,6 +64,17 @@
     }
 }
 
+/// How far a quota may be exceeded over a window, by all hosts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaTolerance {
+    /// The window.
+    pub window: Duration,
+    /// A share of the window's quota.
+    pub overage: f64,
+    /// Units beyond that.
+    pub slack: f64,
+}
+
 /// An organisation whose callers have keys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Organisation {
--- a/crates/fleet/tests/quotas.rs
+++ b/crates/fleet/tests/quotas.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use guavaspread_fleet::{
-    HostLease, QUOTA_PING_INTERVAL, Quota, QuotaDecision, QuotaHosts, QuotaLedger, QuotaUnit,
+    HostLease, QUOTA_PING_INTERVAL, Quota, QuotaDecision, QuotaHosts, QuotaLedger, QuotaTolerance,
+    QuotaUnit,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,7 +18,7 @@
 const ZONES: usize = 4;
 const STEP: Duration = Duration::from_millis(100);
 const STEPS: usize = 300;
-const QUOTA: Quota =
+const NOMINAL: Quota =
     Quota { unit: QuotaUnit::Tokens { plain: 200 }, rate_per_s: 100_000.0, burst: 100_000.0 };
 /// The rule: in each window, the rate and the burst and a tenth more, and this slack.
 const WINDOW: Duration = Duration::from_secs(8);
@@ -47,6 +48,7 @@
     keepers: Vec<QuotaLedger>,
     is_cut: [bool; ZONES],
     is_frozen: bool,
+    quota: Quota,
     now: Duration,
     /// The granted units and when.
     granted: VecDeque<(Duration, f64)>,
@@ -66,6 +68,11 @@
             keepers: vec![QuotaLedger::default(); ZONES],
             is_cut: [false; ZONES],
             is_frozen: false,
+            quota: NOMINAL.with_tolerance(&QuotaTolerance {
+                window: WINDOW,
+                overage: OVERAGE - 1.0,
+                slack: SLACK,
+            }),
             now: Duration::from_secs(100),
             granted: VecDeque::new(),
             total: 0.0,
@@ -78,7 +85,7 @@
 
     fn ping(&mut self) {
         for zone in 0..ZONES {
-            let quota = (&organisation(), &QUOTA);
+            let quota = (&organisation(), &self.quota);
             self.keepers[zone].on_ping_sent(&organisation(), self.now);
             if self.reaches(zone) {
                 let name: Arc<str> = format!("zone-{zone}").into();
@@ -90,7 +97,7 @@
 
     fn request(&mut self, zone: usize, cost: f64) -> QuotaDecision {
         let organisation = organisation();
-        let quota = (&organisation, &QUOTA);
+        let quota = (&organisation, &self.quota);
         let decision = match self.reaches(zone) {
             true => self.issuer.issue(quota, &self.hosts, cost, self.now),
             false => self.keepers[zone].keep(quota, &self.hosts, cost, self.now),
@@ -130,7 +137,7 @@
 }
 
 fn limit() -> f64 {
-    (QUOTA.rate_per_s * WINDOW.as_secs_f64() + QUOTA.burst) * OVERAGE + SLACK
+    (NOMINAL.rate_per_s * WINDOW.as_secs_f64() + NOMINAL.burst) * OVERAGE + SLACK
 }
 
 /// Zones are cut off and come back, keepers restart and the issuer freezes or restarts, while each
@@ -179,7 +186,7 @@
     fleet.is_cut[3] = is_cut;
     let zones = if is_cut { 3 } else { ZONES };
     // The part of the zone that is cut off is kept for its own callers.
-    let limit = QUOTA.rate_per_s * zones as f64 / ZONES as f64;
+    let limit = NOMINAL.rate_per_s * zones as f64 / ZONES as f64;
     for n in 0..20 {
         fleet.step(n);
     }
