--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -97,6 +97,12 @@
         if let Some(load) = response_info.load {
             self.entry.placement.borrow_mut().on_load_report(key, load, now);
         }
+        if let Some(pace) = response_info.pace {
+            if self.entry.metrics.paces.inc() == 0 {
+                log::info!("server {} states its pace, which placement uses: {pace}", server.id);
+            }
+            self.entry.placement.borrow_mut().on_pace(key, pace, now);
+        }
         self.classify((key, server), response, &response_info, started, in_flight, record)
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -93,6 +93,7 @@
     /// Configurations that were read and are older than the one in force.
     pub(crate) configs_outdated: Counter,
     pub(crate) unknown_keys: Counter,
+    pub(crate) paces: Counter,
     pub(crate) quota_requests: Family<QuotaLabels, Counter>,
 }
 
@@ -135,6 +136,7 @@
             engines_lost: Counter::default(),
             configs_outdated: Counter::default(),
             unknown_keys: Counter::default(),
+            paces: Counter::default(),
             quota_requests: Family::default(),
         };
         let registry = &mut metrics.registry;
@@ -241,6 +243,11 @@
             "Requests of organisations with a quota, granted or refused",
             metrics.quota_requests.clone(),
         );
+        registry.register(
+            "paces",
+            "Responses that state how long work takes on the server",
+            metrics.paces.clone(),
+        );
         registry.register(
             "unknown_keys",
             "Requests refused because their keys are missing or unknown",
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -266,7 +266,7 @@
 }
 
 /// The properties of a server's response, read from its head.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseInfo {
     /// The id of the request that the response belongs to.
     pub id: Option<Arc<str>>,
@@ -278,6 +278,8 @@
     pub server: Option<Arc<str>>,
     /// The server's load, if stated.
     pub load: Option<LoadReport>,
+    /// How long work takes on the server at this moment, if stated; 1 is the usual.
+    pub pace: Option<f64>,
     /// The server's notice: whether it is draining, and how long it wants no requests.
     pub notice: ServerNotice,
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -9,9 +9,12 @@
 //! adapter is preferred to one that has to fetch it, unless it is far more loaded. An adapter that
 //! moved when its engine was lost therefore stays where it is when that engine returns.
 //!
+//! Where servers state how long work takes on them at the moment, their load counts in that time.
+//!
 //! Services without models are placed by load, with a preference for the entry host's own zone.
 
 mod candidate;
+mod pace;
 
 use std::cell::Cell;
 
@@ -356,6 +359,13 @@
         }
     }
 
+    /// Records a figure of how long work takes on a server at this moment; 1 is the usual.
+    pub fn on_pace(&mut self, key: PlacementKey, figure: f64, now: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(key) {
+            candidate.on_pace(figure, now);
+        }
+    }
+
     /// Records that a server failed a request.
     pub fn on_request_failed(&mut self, key: PlacementKey, now: Duration) {
         if let Some(candidate) = self.candidates.get_mut(key) {
--- a/crates/fleet/src/placement/candidate.rs
+++ b/crates/fleet/src/placement/candidate.rs
@@ -2,6 +2,7 @@
 
 use guavaspread_placement::Demand;
 
+use super::pace::Pace;
 use crate::prelude::*;
 use crate::server_list::Server;
 
@@ -34,6 +35,8 @@
     /// Requests of this host at the server.
     pub(super) in_flight: u32,
     report: Option<(LoadReport, Duration)>,
+    /// `None` for a server that states none.
+    pace: Option<Pace>,
     failures: Demand,
     cooldown_until: Duration,
     /// Consecutive connection failures since the last load report.
@@ -46,6 +49,7 @@
             server,
             in_flight: 0,
             report: None,
+            pace: None,
             failures: Demand::default(),
             cooldown_until: Duration::ZERO,
             unreachable_count: 0,
@@ -67,6 +71,13 @@
         self.unreachable_count = 0;
     }
 
+    pub(super) fn on_pace(&mut self, figure: f64, now: Duration) {
+        match &mut self.pace {
+            Some(pace) => pace.on_figure(figure, now),
+            None => self.pace = Some(Pace::new(figure, now)),
+        }
+    }
+
     pub(super) fn on_request_failed(&mut self, now: Duration) {
         self.failures.add(now, FAILURE_HALF_LIFE, 1.0);
     }
@@ -99,9 +110,13 @@
         (self.requests(now) + 1.0) / f64::from(self.server.slots.max(1))
     }
 
-    /// Returns the load with the cost of recent failures.
+    /// Returns the load with the costs of the server's pace and of recent failures.
+    ///
+    /// An idle server that takes twice the usual time costs one load more: it ends a request when
+    /// another one has ended what its places hold.
     pub(super) fn cost(&self, now: Duration) -> f64 {
         let failures = self.failures.count(now, FAILURE_HALF_LIFE);
-        self.load(now) + failures * FAILURE_COST
+        let pace = self.pace.map_or(1.0, |pace| pace.expected(now));
+        self.load(now) * pace + (pace - 1.0) + failures * FAILURE_COST
     }
 }
