--- a/crates/fleet/src/organisations.rs
+++ b/crates/fleet/src/organisations.rs
@@ -14,9 +14,9 @@
 /// The longest key. Longer ones are no keys, as each request's key is hashed.
 pub const KEY_BYTES_MAX: usize = 512;
 const DIGEST_BYTES: usize = 16;
-/// The share of a quota's tolerance that bursts may use. The rest covers what keepers grant while a
-/// zone that is cut off is not known to be.
-const TOLERANCE_SHARE: f64 = 0.5;
+/// The share of a quota's tolerance that is granted. The rest covers what keepers grant while a zone
+/// that is cut off is not known to be.
+const TOLERANCE_SHARE: f64 = 0.7;
 
 /// Random bytes that are hashed with each key.
 pub type KeySalt = [u8; 16];
@@ -45,14 +45,17 @@
 }
 
 impl Quota {
-    /// Returns the quota with a larger burst: what may be used of the tolerance of a window.
+    /// Returns the quota with a higher rate: what may be used of the tolerance of each window.
     ///
-    /// A quota of `burst` alone refuses callers whose requests come unevenly, though they stay below
-    /// the limit over the window.
+    /// What a quota allows over a window, with its tolerance, is the organisation's to use.
     pub fn with_tolerance(self, tolerance: &QuotaTolerance) -> Self {
-        let window = self.rate_per_s * tolerance.window.as_secs_f64() + self.burst;
-        let allowed = window * tolerance.overage + tolerance.slack;
-        Quota { burst: self.burst + allowed * TOLERANCE_SHARE, ..self }
+        if tolerance.window.is_zero() {
+            return self;
+        }
+        let window_s = tolerance.window.as_secs_f64();
+        let allowed =
+            (self.rate_per_s * window_s + self.burst) * tolerance.overage + tolerance.slack;
+        Quota { rate_per_s: self.rate_per_s + allowed * TOLERANCE_SHARE / window_s, ..self }
     }
 
     /// Returns what a request counts that states this number of tokens.
--- a/crates/fleet/src/quotas.rs
+++ b/crates/fleet/src/quotas.rs
@@ -27,7 +27,7 @@
 const TAKEOVER_TIME: Duration = Duration::from_millis(1_400);
 /// What a keeper may grant before that, in time of the whole rate. Callers of a zone that has just
 /// been cut off would otherwise all be refused.
-const RESERVE_TIME: Duration = Duration::from_millis(100);
+const RESERVE_TIME: Duration = Duration::from_millis(50);
 /// The longest time after which a refused caller is asked to return.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(8);
 /// The maximum number of organisations whose buckets a host keeps.
