--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -4,7 +4,7 @@
 
 use guavaspread_fleet::{
     Caller, HostLease, Organisation, QUOTA_PING_INTERVAL, Quota, QuotaDecision, QuotaHosts,
-    QuotaLedger,
+    QuotaLedger, QuotaUse,
 };
 use guavaspread_model::Refusal;
 
@@ -18,6 +18,9 @@
 /// Organisations with counters of their own; the others are counted together.
 const COUNTED_ORGANISATIONS_MAX: usize = 64;
 
+/// Interval between the log lines of what an issuer granted.
+const USE_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
 /// The quotas that this host uses and grants.
 #[derive(Default)]
 pub(crate) struct Quotas {
@@ -49,6 +52,16 @@
         self.ledger.borrow_mut().give_back(organisation, cost as f64);
     }
 
+    /// Logs what this host granted and refused as an issuer.
+    fn log_uses(&self) {
+        for (organisation, QuotaUse { granted, refused }) in self.ledger.borrow().uses() {
+            log::info!(
+                "quota of organisation {organisation}: this host granted {granted:.0} units and \
+                 refused {refused} requests since it issues it"
+            );
+        }
+    }
+
     fn find(&self, organisation: &str) -> Option<Rc<(Quota, QuotaHosts)>> {
         self.directory.borrow().hosts.get(organisation).cloned()
     }
@@ -248,8 +261,13 @@
 
 /// Pings the issuers of the organisations for which this host is the keeper, until the process ends.
 pub(crate) async fn ping_issuers(entry: Rc<EntryState>) {
+    let mut logged_at = entry.clock.now();
     loop {
         tokio::time::sleep(QUOTA_PING_INTERVAL).await;
+        if entry.clock.now() >= logged_at + USE_LOG_INTERVAL {
+            logged_at = entry.clock.now();
+            entry.quotas.log_uses();
+        }
         if entry.has_no_quotas() {
             continue;
         }
