--- a/crates/entry/src/crash_gossip.rs
+++ b/crates/entry/src/crash_gossip.rs
@@ -253,6 +253,7 @@
         self.metrics.contents_held.set(quarantined_count as i64);
         let part_count = self.quarantine.borrow().quarantined_part_count(self.clock.now());
         self.metrics.parts_held.set(part_count as i64);
+        self.metrics.left_zone.set(self.placement.borrow().left_zone_count() as i64);
         self.metrics.text()
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -93,6 +93,7 @@
     /// Configurations that were read and are older than the one in force.
     pub(crate) configs_outdated: Counter,
     pub(crate) unknown_keys: Counter,
+    pub(crate) left_zone: Gauge,
     pub(crate) paces: Counter,
     pub(crate) quota_requests: Family<QuotaLabels, Counter>,
 }
@@ -136,6 +137,7 @@
             engines_lost: Counter::default(),
             configs_outdated: Counter::default(),
             unknown_keys: Counter::default(),
+            left_zone: Gauge::default(),
             paces: Counter::default(),
             quota_requests: Family::default(),
         };
@@ -248,6 +250,11 @@
             "Responses that state how long work takes on the server",
             metrics.paces.clone(),
         );
+        registry.register(
+            "left_zone",
+            "Choices of a server in another zone because leaving the zone pays",
+            metrics.left_zone.clone(),
+        );
         registry.register(
             "unknown_keys",
             "Requests refused because their keys are missing or unknown",
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -6,6 +6,7 @@
 use guavaspread_fleet::{
     GrantCache, LeaseManager, LeaseTimes, Placement, RequestLimits, RetryShares, ServerList,
 };
+use guavaspread_model::content_hash;
 use http::StatusCode;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -44,6 +45,8 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reads of the settings file, which may change without a signal.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval between log lines of requests that left the zone.
+const LEFT_ZONE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval between removals of idle connections and expired contents.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -112,6 +115,12 @@
     }
 }
 
+fn new_placement(cfg: &EntrySettings) -> Placement {
+    let mut placement = Placement::new(cfg.zone.clone());
+    placement.set_zone_crossing(cfg.zone_crossing_cost, content_hash(cfg.host.as_bytes()));
+    placement
+}
+
 fn new_entry(cfg: EntrySettings, platform: &dyn Platform) -> Rc<EntryState> {
     let holder: Arc<str> = format!("{}@{}", cfg.host, cfg.ip).into();
     let takeover_delay = Duration::from_millis(cfg.lease_ms) + TAKEOVER_DELAY_MARGIN;
@@ -136,7 +145,7 @@
         limits: watch::Sender::new(RequestLimits::default()),
         versions: RefCell::default(),
         server_list: RefCell::new(ServerList::default()),
-        placement: RefCell::new(Placement::new(cfg.zone.clone())),
+        placement: RefCell::new(new_placement(&cfg)),
         grant_cache: RefCell::new(GrantCache::default()),
         leases: RefCell::new(leases),
         leases_changed: Notify::new(),
@@ -158,14 +167,35 @@
 }
 
 async fn remove_expired(entry: Rc<EntryState>) {
+    let mut left_zone = ReportedCount { count: 0, at: entry.clock.now() };
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let now = entry.clock.now();
+        if let Some(left) = left_zone.next(entry.placement.borrow().left_zone_count(), now) {
+            log::info!("{left} choices of a server left the zone since the last such line");
+        }
         entry.pool.sweep(now);
         entry.quarantine.borrow_mut().expire(now);
     }
 }
 
+/// A count whose growth is logged now and then.
+struct ReportedCount {
+    count: u64,
+    at: Duration,
+}
+
+impl ReportedCount {
+    /// Returns by how much the count has grown, if that is due to be logged.
+    fn next(&mut self, count: u64, now: Duration) -> Option<u64> {
+        if count == self.count || now < self.at + LEFT_ZONE_LOG_INTERVAL {
+            return None;
+        }
+        self.at = now;
+        Some(count - std::mem::replace(&mut self.count, count))
+    }
+}
+
 /// Reloads the settings on SIGHUP and at regular intervals.
 async fn watch_settings(entry: Rc<EntryState>, path: PathBuf) {
     let mut hup = match signal(SignalKind::hangup()) {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -48,6 +48,9 @@
     /// How old the host's configuration may be for that, in milliseconds.
     #[serde(default = "default_revoke_ms")]
     pub revoke_ms: u64,
+    /// What a request to another availability zone costs, in times of a usual request.
+    #[serde(default = "default_zone_crossing_cost")]
+    pub zone_crossing_cost: f64,
     /// The window over which an organisation's quota is judged, in seconds.
     #[serde(default)]
     pub quota_window_s: f64,
@@ -94,6 +97,10 @@
     3_000
 }
 
+fn default_zone_crossing_cost() -> f64 {
+    0.2
+}
+
 fn default_revoke_ms() -> u64 {
     5_000
 }
@@ -203,6 +210,7 @@
             return Some(("contact-ms", "must be at least 2000"));
         }
         let tolerances = [
+            ("zone-crossing-cost", self.zone_crossing_cost),
             ("quota-window-s", self.quota_window_s),
             ("quota-overage", self.quota_overage),
             ("quota-slack", self.quota_slack),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! | track the backend servers | [`ServerList`], [`Server`] |
 //! | notice that the store came back from an older copy | [`StoreEra`], [`revision`] |
 //! | choose a server | [`Placement`], [`Pick`] |
+//! | decide whether a request leaves its zone | [`leaving_share`], [`ZoneChoice`] |
 //! | respect drain and busy notices of servers | [`ServerNotices`], [`Availability`] |
 //! | track the rate limits that servers name | [`RateLimits`], [`RateLimit`] |
 //! | divide a server's rate limit among hosts | [`PermitIssuer`], [`permit_coordinators`] |
@@ -97,7 +98,9 @@
     permit_coordinators, zone_count,
 };
 pub use persisted_contents::PersistedContents;
-pub use placement::{LoadReport, Pick, Placement, PlacementKey, ServerFilter};
+pub use placement::{
+    LoadReport, Pick, Placement, PlacementKey, ServerFilter, ZoneChoice, choose_zone, leaving_share,
+};
 pub use prefill_queue::{PrefillAdmission, PrefillQueue, Prompt, PromptKey};
 pub use prompt_parts::{ClearedParts, PartsAdmission, PromptParts};
 pub use quarantine::{Admission, ContentReport, ContentSummary, Quarantine, tracking_hosts};
--- a/crates/fleet/src/placement/candidate.rs
+++ b/crates/fleet/src/placement/candidate.rs
@@ -115,6 +115,18 @@
         self.pace.map_or(1.0, |pace| pace.expected(now))
     }
 
+    /// Returns how long a request is expected to take, in times of a usual one: a server with a free
+    /// place takes its own time, a full one as many times as its places are taken.
+    pub(super) fn expected_time(&self, now: Duration) -> f64 {
+        let failures = self.failures.count(now, FAILURE_HALF_LIFE);
+        self.load(now).max(1.0) * self.pace(now) + failures * FAILURE_COST
+    }
+
+    /// Returns whether the server states its pace.
+    pub(super) fn states_pace(&self) -> bool {
+        self.pace.is_some()
+    }
+
     /// Returns the load in time of the usual pace, with the cost of recent failures.
     pub(super) fn cost(&self, now: Duration) -> f64 {
         let failures = self.failures.count(now, FAILURE_HALF_LIFE);
