--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -16,11 +16,12 @@
 
 mod candidate;
 mod pace;
+mod plain;
 mod zone_choice;
 
 use std::cell::Cell;
 
-use guavaspread_model::{content_hash, rendezvous_score};
+use guavaspread_model::rendezvous_score;
 use guavaspread_placement::{Demand, DemandMap};
 use slotmap::{SlotMap, new_key_type};
 
@@ -34,16 +35,9 @@
 
 /// Cost of fetching the adapter, as a fraction of the engine's slots.
 const FETCH_COST: f64 = 0.4;
-/// Cost of a server in another zone, as a fraction of its slots; applies to services without
-/// models.
-const CROSS_ZONE_COST: f64 = 0.5;
 /// What a crossing to another zone costs unless it is set, in times of a usual request: 6 ms of 30, two
 /// ways of 1.4 ms and as much again for the bytes.
 const ZONE_CROSSING_COST: f64 = 0.2;
-/// The salt of the draw whether a request leaves its zone; the draws of servers have lower ones.
-const ZONE_DRAW: u64 = SAMPLE_SIZE as u64;
-/// Servers that are compared where servers state their pace.
-const SAMPLE_SIZE: usize = 2;
 /// Half-life of an adapter's demand; popularity shifts within seconds.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
 const DEMAND_ENTRIES_MAX: usize = 8_192;
@@ -231,90 +225,6 @@
         self.total_demand.add(now, DEMAND_HALF_LIFE, 1.0);
     }
 
-    /// Chooses a server of a service without models, excluding the servers already tried.
-    pub fn pick_server<'a>(
-        &self,
-        servers: impl Into<ServerFilter<'a>>,
-        tried: &[Arc<str>],
-        now: Duration,
-    ) -> Pick {
-        let servers = servers.into();
-        let available = self.available(servers, tried, now);
-        if available.iter().any(|key| self.candidates.get(*key).is_some_and(Candidate::states_pace))
-        {
-            let chosen = self.within_zone_choice(available, now);
-            return self.cheapest(self.sample_by_pace(chosen, now), |c| c.cost(now), servers, now);
-        }
-        let cost = |c: &Candidate| {
-            let zone_cost = if c.server.zone == self.zone { 0.0 } else { CROSS_ZONE_COST };
-            c.cost(now) + zone_cost
-        };
-        self.cheapest(available, cost, servers, now)
-    }
-
-    /// Returns the servers of the own zone, or those of the others if the request leaves it.
-    fn within_zone_choice(&self, keys: Vec<PlacementKey>, now: Duration) -> Vec<PlacementKey> {
-        let is_here = |key: &PlacementKey| {
-            self.candidates.get(*key).is_some_and(|c| c.server.zone == self.zone)
-        };
-        let (here, elsewhere): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_here);
-        let shortest = |keys: &[PlacementKey]| {
-            let times =
-                keys.iter().filter_map(|key| Some(self.candidates.get(*key)?.expected_time(now)));
-            times.min_by(f64::total_cmp)
-        };
-        let draw = self.draw(ZONE_DRAW);
-        let crossing = self.zone_crossing_cost;
-        match choose_zone(shortest(&here), shortest(&elsewhere), crossing, draw) {
-            ZoneChoice::Stay => here,
-            ZoneChoice::Leave => {
-                self.left_zone.set(self.left_zone.get() + 1);
-                elsewhere
-            }
-        }
-    }
-
-    /// Returns a number between 0 and 1 for this choice, another one for each salt.
-    fn draw(&self, salt: u64) -> f64 {
-        let seed = [self.draw_seed, self.rotation.get() as u64, salt];
-        let bytes: Vec<u8> = seed.iter().flat_map(|part| part.to_le_bytes()).collect();
-        content_hash(&bytes) as f64 / u64::MAX as f64
-    }
-
-    /// Returns the number of choices that left the zone.
-    pub fn left_zone_count(&self) -> u64 {
-        self.left_zone.get()
-    }
-
-    /// Sets what a crossing to another zone costs, in times of a usual request, and a number in which
-    /// the hosts differ, so that they draw differently.
-    pub fn set_zone_crossing(&mut self, cost: f64, draw_seed: u64) {
-        (self.zone_crossing_cost, self.draw_seed) = (cost, draw_seed);
-    }
-
-    /// Returns two of the servers, drawn in proportion to their speed; all, unless they state it.
-    ///
-    /// All hosts learn that a server is fast at about the same time, and would all send to it before
-    /// its load shows.
-    fn sample_by_pace(&self, keys: Vec<PlacementKey>, now: Duration) -> Vec<PlacementKey> {
-        let weights: Vec<f64> = keys
-            .iter()
-            .map(|key| self.candidates.get(*key).map_or(0.0, |c| 1.0 / c.pace(now)))
-            .collect();
-        if keys.len() <= SAMPLE_SIZE || weights.iter().all(|weight| *weight == 1.0) {
-            return keys;
-        }
-        let draw = |salt: u64| {
-            let mut rest = self.draw(salt) * weights.iter().sum::<f64>();
-            let at = weights.iter().position(|weight| {
-                rest -= weight;
-                rest < 0.0
-            });
-            keys.get(at.unwrap_or(0)).copied()
-        };
-        (0..SAMPLE_SIZE as u64).filter_map(draw).collect()
-    }
-
     /// Chooses an engine for a request to a base model.
     pub fn pick_for_model<'a>(
         &self,
--- a/crates/fleet/src/placement/zone_choice.rs
+++ b/crates/fleet/src/placement/zone_choice.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// Decides on one request; `draw` is uniform between 0 and 1.
+/// Decides on one request; `draw` is uniform between 0 and below 1.
 pub fn choose_zone(
     here: Option<f64>,
     elsewhere: Option<f64>,
