--- a/crates/fleet/src/organisations.rs
+++ b/crates/fleet/src/organisations.rs
@@ -53,8 +53,9 @@
             return self;
         }
         let window_s = tolerance.window.as_secs_f64();
-        let allowed =
-            (self.rate_per_s * window_s + self.burst) * tolerance.overage + tolerance.slack;
+        let window = self.rate_per_s * window_s + self.burst;
+        // A slack in another unit, such as tokens for requests, must not make the quota void.
+        let allowed = window * tolerance.overage + tolerance.slack.min(window);
         Quota { rate_per_s: self.rate_per_s + allowed * TOLERANCE_SHARE / window_s, ..self }
     }
 
--- a/crates/fleet/tests/organisations.rs
+++ b/crates/fleet/tests/organisations.rs
@@ -92,3 +92,14 @@
     };
     assert_eq!(found, expected);
 }
+
+/// A setting in tokens, and a quota in requests.
+#[test_case(110_000.0, 2.0; "a slack beyond the quota")]
+#[test_case(9.0, 1.1; "a slack in requests")]
+fn a_tolerance_raises_the_rate_within_bounds(slack: f64, factor_max: f64) {
+    let quota = Quota { unit: QuotaUnit::Requests, rate_per_s: 10.0, burst: 10.0 };
+    let tolerance = QuotaTolerance { window: Duration::from_secs(8), overage: 0.0, slack };
+    let raised = quota.with_tolerance(&tolerance);
+    assert!(raised.rate_per_s > 10.0 && raised.rate_per_s <= 10.0 * factor_max, "{raised:?}");
+    assert_eq!(quota.with_tolerance(&QuotaTolerance::default()), quota);
+}
