--- a/crates/fleet/tests/organisations.rs
+++ b/crates/fleet/tests/organisations.rs
@@ -3,12 +3,12 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use guavaspread_fleet::{
-    Caller, Catalog, KEY_BYTES_MAX, Organisation, Organisations, RequestClass, RequestLimits,
-    Route, Target, UnusedKey,
+    Caller, Catalog, KEY_BYTES_MAX, Organisation, Organisations, Quota, QuotaTolerance, QuotaUnit,
+    RequestClass, RequestLimits, Route, Target, UnusedKey,
 };
-use std::time::Duration;
 use test_case::test_case;
 
 fn organisation(name: &str) -> Organisation {
