Read the version history for each stream that is taken up

Callers would see events of two software versions joined in one stream: servers of a new version join, streams begin there through other hosts, break off and are taken up at a host that has not learned of the new version. It continued them at the version that it knew.

Cause: the host read the history only if it knew servers of several versions, or several possible versions. One that knows of a single version because its knowledge is old did not read, and did not ask the hosts that served the stream. Where the read failed, the old knowledge counted as true.

Ruled out: the age of what watchers relay, as no age was compared at all.

Why this works: the store keeps a new version before any stream begins at it, so a read that was sent after the take-up has the version of the stream among the possible ones.

Cost: streams of killed hosts are refused while the store can't be read.

--- a/crates/entry/src/stream_versions.rs
+++ b/crates/entry/src/stream_versions.rs
@@ -1,14 +1,15 @@
 //! The software version that began a resumable stream, and the one at which new streams begin.
 //!
-//! A host knows the version of a stream that it served itself, of any other stream if all streams of
-//! the service began at one version (see [`VersionHistory`]), and otherwise asks the other hosts.
-//! What nobody can tell is not continued. A store that does not respond delays no request for long.
+//! A host knows the version of a stream that it served itself, and of any other stream if all streams
+//! of the service began at one version (see [`VersionHistory`]), which the store has to confirm for
+//! each stream that is taken up. Otherwise it asks the other hosts. What nobody can tell is not
+//! continued. A store that does not respond delays no request for long.
 
 use std::net::SocketAddr;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use guavaspread_fleet::{VersionCounts, VersionHistory};
+use guavaspread_fleet::{FirstVersion, HistoryReads, VersionCounts, VersionHistory};
 use guavaspread_model::{Refusal, content_hash};
 
 use crate::feed_relay::STREAM_VERSIONS_FEED_TTL;
@@ -64,8 +65,10 @@
     store_clock: Cell<Option<(u64, Duration)>>,
     /// Held while this host writes; the earliest time of the next write.
     writing: tokio::sync::Mutex<Duration>,
+    /// The reads of the versions for requests.
+    reads: Cell<HistoryReads>,
     /// Held while this host reads for a request. Requests that arrived earlier need no other read.
-    reading: tokio::sync::Mutex<Duration>,
+    reading: tokio::sync::Mutex<()>,
 }
 
 impl StreamVersions {
@@ -267,27 +270,38 @@
         Ok(())
     }
 
-    /// Reads the versions again unless they were read since `since`.
-    ///
-    /// A host that has not learned yet that streams begin at another version would take a stream of
-    /// that version for one of the previous version.
-    async fn refresh_versions(self: &Rc<Self>, since: Duration) {
-        let mut valid_for = self.stream_versions.reading.lock().await;
-        if *valid_for >= since {
+    /// Returns how to learn which version began a stream that was taken up at `taken_up_at`.
+    fn first_version(&self, service: &str, taken_up_at: Duration) -> FirstVersion {
+        let possible = self.possible_versions(service);
+        self.stream_versions.reads.get().first_version(&possible, taken_up_at)
+    }
+
+    /// Reads the versions for a stream that was taken up at `taken_up_at`, unless another request
+    /// has read them since.
+    async fn read_versions(self: &Rc<Self>, service: &str, taken_up_at: Duration) {
+        let _reading = self.stream_versions.reading.lock().await;
+        if self.first_version(service, taken_up_at) != FirstVersion::ReadHistory {
             return;
         }
-        *valid_for = self.clock.now();
+        let sent_at = self.clock.now();
         let read = self.platform.store.snapshot(Feed::StreamVersions);
-        match tokio::time::timeout(REFRESH_TIMEOUT, read).await {
+        let result = tokio::time::timeout(REFRESH_TIMEOUT, read).await;
+        let now = self.clock.now();
+        let mut reads = self.stream_versions.reads.get();
+        let error = match result {
             Ok(Ok(batch)) => {
-                apply_batch(self, Feed::StreamVersions, batch, true, self.clock.now());
-            }
-            // While the store serves nobody, streams begin at the version last read.
-            Ok(Err(_)) | Err(_) => {
-                log::warn!("the streams' versions can't be read again, using those known");
-                *valid_for = self.clock.now() + STORE_RETRY_INTERVAL;
+                apply_batch(self, Feed::StreamVersions, batch, true, now);
+                reads.on_read(sent_at);
+                None
             }
+            Ok(Err(e)) => Some(e.to_string()),
+            Err(_) => Some(format!("no response in {} ms", REFRESH_TIMEOUT.as_millis())),
+        };
+        if let Some(e) = error {
+            log::warn!("reading the streams' versions failed, asking the other hosts instead: {e}");
+            reads.on_read_failed(now + STORE_RETRY_INTERVAL);
         }
+        self.stream_versions.reads.set(reads);
     }
 
     /// Asks other hosts which version began a stream; returns the first answer.
@@ -348,13 +362,14 @@
         if served.is_some() {
             return served;
         }
-        let has_several = entry.version_counts(&self.service).len() > 1;
-        if has_several || entry.possible_versions(&self.service).len() > 1 {
-            entry.refresh_versions(arrived_at).await;
-        }
-        match &*entry.possible_versions(&self.service) {
-            [software] => Some(software.clone()),
-            _ => entry.ask_stream_version(stream?).await,
+        loop {
+            match entry.first_version(&self.service, arrived_at) {
+                FirstVersion::Known(software) => return Some(software),
+                FirstVersion::ReadHistory => {
+                    entry.read_versions(&self.service, arrived_at).await;
+                }
+                FirstVersion::AskHosts => return entry.ask_stream_version(stream?).await,
+            }
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -114,5 +114,7 @@
     AdapterId, LoadedAdapter, LoadedModel, Server, ServerChange, ServerList, ServerState,
 };
 pub use store_era::{EraCheck, StatedEra, StoreEra};
-pub use version_history::{VersionCounts, VersionHistory, VersionStart};
+pub use version_history::{
+    FirstVersion, HistoryReads, VersionCounts, VersionHistory, VersionStart,
+};
 pub use watch::{RelayedServers, WatcherFreshness, watchers_to_follow, zone_watchers};
--- a/crates/fleet/src/version_history.rs
+++ b/crates/fleet/src/version_history.rs
@@ -4,7 +4,7 @@
 //! an id that tells nothing of the version, and the host that began the stream may be gone. All
 //! hosts therefore begin the resumable streams of a service at one version, and the store keeps
 //! which one and since when. While that has not changed for longer than a stream lasts, every host
-//! knows the version of every stream, also one that has just started.
+//! that has read the history since knows the version of every stream, also one that has just started.
 
 use serde::{Deserialize, Serialize};
 
@@ -97,3 +97,52 @@
         self.starts != known
     }
 }
+
+/// How a host learns which version began a stream that another host, or an earlier process, served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FirstVersion {
+    /// This version began the stream.
+    Known(Arc<str>),
+    /// The history has to be read from the store.
+    ReadHistory,
+    /// Only the host that served the stream can tell.
+    AskHosts,
+}
+
+/// When a host read the history of the store's versions.
+///
+/// A stream can begin at a new version right after the store kept it, so no age of the history is
+/// small enough: a read has to be sent after the caller took the stream up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HistoryReads {
+    /// The known history has every change up to this time.
+    complete_until: Option<Duration>,
+    /// The earliest time of the next read after a failed one.
+    retry_at: Duration,
+}
+
+impl HistoryReads {
+    /// Records that the store responded to a read that was sent at `sent_at`.
+    pub fn on_read(&mut self, sent_at: Duration) {
+        self.complete_until = self.complete_until.max(Some(sent_at));
+    }
+
+    /// Records that a read failed. Streams that are taken up before `retry_at` are not read for.
+    pub fn on_read_failed(&mut self, retry_at: Duration) {
+        self.retry_at = retry_at;
+    }
+
+    /// Returns how to learn which version began a stream that was taken up at `taken_up_at`, if it
+    /// is one of the known `possible` versions, or one that the history lacks.
+    pub fn first_version(&self, possible: &[Arc<str>], taken_up_at: Duration) -> FirstVersion {
+        let is_complete = self.complete_until.is_some_and(|until| until >= taken_up_at);
+        match possible {
+            [_, _, ..] => FirstVersion::AskHosts,
+            [sole] if is_complete => FirstVersion::Known(sole.clone()),
+            [] if is_complete => FirstVersion::AskHosts,
+            // A store that rejects only this host may keep a version that this host has not read.
+            [] | [_] if taken_up_at < self.retry_at => FirstVersion::AskHosts,
+            [] | [_] => FirstVersion::ReadHistory,
+        }
+    }
+}
--- a/crates/fleet/tests/version_history.rs
+++ b/crates/fleet/tests/version_history.rs
@@ -3,8 +3,9 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use guavaspread_fleet::{VersionCounts, VersionHistory, VersionStart};
+use guavaspread_fleet::{FirstVersion, HistoryReads, VersionCounts, VersionHistory, VersionStart};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -50,6 +51,34 @@
     history(known).possible(AGE_MAX_MS, now_ms).join(" ")
 }
 
+#[test_case("v1", None, None => FirstVersion::ReadHistory; "never read")]
+#[test_case("v1", Some(999), None => FirstVersion::ReadHistory; "read before")]
+#[test_case("v1", Some(1_000), None => FirstVersion::Known("v1".into()); "read since")]
+#[test_case("v1", Some(1_000), Some(1_500) => FirstVersion::Known("v1".into()); "failed after")]
+#[test_case("v1", Some(999), Some(1_001) => FirstVersion::AskHosts; "failed")]
+#[test_case("v1", None, Some(1_001) => FirstVersion::AskHosts; "failed and never read")]
+#[test_case("v1", Some(999), Some(1_000) => FirstVersion::ReadHistory; "failed long before")]
+#[test_case("", None, None => FirstVersion::ReadHistory; "no version, never read")]
+#[test_case("", Some(1_000), None => FirstVersion::AskHosts; "no version")]
+#[test_case("", None, Some(1_001) => FirstVersion::AskHosts; "no version, failed")]
+#[test_case("v1 v2", Some(1_000), None => FirstVersion::AskHosts; "two versions")]
+#[test_case("v1 v2", Some(999), None => FirstVersion::AskHosts; "two versions, read before")]
+fn a_sole_version_has_to_be_confirmed_after_the_stream_was_taken_up(
+    possible: &str,
+    sent_at_ms: Option<u64>,
+    retry_at_ms: Option<u64>,
+) -> FirstVersion {
+    let possible: Vec<Arc<str>> = possible.split_whitespace().map(Into::into).collect();
+    let mut reads = HistoryReads::default();
+    if let Some(sent_at_ms) = sent_at_ms {
+        reads.on_read(Duration::from_millis(sent_at_ms));
+    }
+    if let Some(retry_at_ms) = retry_at_ms {
+        reads.on_read_failed(Duration::from_millis(retry_at_ms));
+    }
+    reads.first_version(&possible, Duration::from_millis(1_000))
+}
+
 /// A host's copy of the store's row.
 #[derive(Clone, Default)]
 struct Copy {
