--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -190,10 +190,19 @@
 /// after the other.
 type ServerKey = (SocketAddr, Arc<str>);
 
+/// Whether a server's refusals carry the ids of their requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalNaming {
+    Named,
+    Unnamed,
+}
+
 /// Pool of idle connections by server.
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<ServerKey, Vec<Connection>>>,
+    /// The naming of the refusals of each server that refused a request, by its id.
+    refusal_naming: RefCell<HashMap<Arc<str>, RefusalNaming>>,
 }
 
 /// A response head, and its body, which occupies a connection.
@@ -202,6 +211,8 @@
     pub head: http::response::Parts,
     /// The body.
     pub body: ResponseBody,
+    /// Whether the connection carried no request before.
+    is_first_on_connection: bool,
 }
 
 impl ServerResponse {
@@ -216,11 +227,6 @@
         }
     }
 
-    /// Returns whether the server refused an earlier request on the connection and named it.
-    pub(crate) fn follows_named_refusal(&self) -> bool {
-        self.body.connection.as_ref().is_some_and(|connection| !connection.refused.is_empty())
-    }
-
     /// Closes the connection, on which the server may still send what belongs to this request.
     pub(crate) fn close(mut self) {
         self.body.pool_slot = None;
@@ -247,6 +253,7 @@
         clock: Clock,
     ) -> Result<ServerResponse, SendError> {
         let idle = self.take_idle((address, server_id.clone()), request_id, clock.now());
+        let is_first_on_connection = idle.is_none();
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(address).await?,
@@ -264,6 +271,7 @@
         Ok(ServerResponse {
             head,
             body: ResponseBody { body, framing, connection: Some(connection), pool_slot },
+            is_first_on_connection,
         })
     }
 
@@ -292,6 +300,37 @@
         timed.unwrap_or(Err(SendError::TimedOut(limit)))
     }
 
+    /// Records a refusal by a server.
+    ///
+    /// A server that named one refusal may leave out the id of another one that it sends before it
+    /// has read the request, so it still counts as a server that names its refusals.
+    pub(crate) fn on_refusal(&self, server_id: &Arc<str>, naming: RefusalNaming) {
+        let mut known = self.refusal_naming.borrow_mut();
+        let known = known.entry(server_id.clone()).or_insert(naming);
+        if naming == RefusalNaming::Named {
+            *known = naming;
+        }
+    }
+
+    /// Returns whether a refusal without an id belongs to the request that it follows.
+    ///
+    /// On a connection that carried other requests, it may be a late response to one of them, unless
+    /// the server is known to leave out the ids.
+    pub(crate) fn is_own_unnamed_refusal(
+        &self,
+        server_id: &str,
+        response: &ServerResponse,
+    ) -> bool {
+        response.is_first_on_connection
+            || self.refusal_naming.borrow().get(server_id) == Some(&RefusalNaming::Unnamed)
+    }
+
+    /// Closes the idle connections to a server that started or left, and forgets what it did before.
+    pub(crate) fn forget_server(&self, server_id: &str) {
+        self.close_idle(server_id);
+        self.refusal_naming.borrow_mut().remove(server_id);
+    }
+
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server_id: &str) {
         self.idle.borrow_mut().retain(|(_, id), _| &**id != server_id);
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -449,7 +449,7 @@
         progress: Progress,
         record: Record,
     ) -> Response<CallerBody> {
-        let ServerResponse { head, body } = response;
+        let ServerResponse { head, body, .. } = response;
         let now = self.entry.clock.now();
         let waited = now.saturating_sub(record.started());
         self.entry.metrics.head_seconds.observe(waited.as_secs_f64());
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::{Attempt, Call};
 use crate::body::{InFlight, ResponseKind, Run};
-use crate::connection_pool::{SendError, ServerResponse};
+use crate::connection_pool::{RefusalNaming, SendError, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::platform::{ForwardInfo, ResponseInfo};
 use crate::prelude::*;
@@ -116,7 +116,7 @@
         in_flight: InFlight,
         record: &mut Record,
     ) -> Attempt {
-        if self.is_foreign(&response, response_info) {
+        if self.is_foreign(server, &response, response_info) {
             // The next request would read this request's response.
             response.close();
             let detail = "the answer is another request's".to_owned();
@@ -163,12 +163,18 @@
     }
 
     /// Returns whether a response belongs, or may belong, to another request on its connection.
-    fn is_foreign(&self, response: &ServerResponse, response_info: &ResponseInfo) -> bool {
+    fn is_foreign(
+        &self,
+        server: &Server,
+        response: &ServerResponse,
+        response_info: &ResponseInfo,
+    ) -> bool {
         match response_info.id.as_deref() {
             Some(id) => *id != *self.info.id,
-            // A server that names the requests it refuses would name this one too, so this is a
-            // copy of an earlier refusal.
-            None => response_info.is_not_run && response.follows_named_refusal(),
+            None => {
+                response_info.is_not_run
+                    && !self.entry.pool.is_own_unnamed_refusal(&server.id, response)
+            }
         }
     }
 
@@ -192,6 +198,11 @@
             response.close();
             return Attempt::Failed(AttemptOutcome::Refused, None);
         }
+        let naming = match response_info.id {
+            Some(_) => RefusalNaming::Named,
+            None => RefusalNaming::Unnamed,
+        };
+        self.entry.pool.on_refusal(&server.id, naming);
         let is_full = response_info.load.is_some_and(|load| load.running >= load.slots);
         match self.adapter() {
             Some(id) if !is_full => {
@@ -202,10 +213,10 @@
                 Attempt::RetrySame
             }
             Some(_) | None => {
-                match response_info.id {
-                    Some(_) => response.on_named_refusal(&self.info.id),
+                match naming {
+                    RefusalNaming::Named => response.on_named_refusal(&self.info.id),
                     // Nothing would tell a late copy from the response to the next request.
-                    None => response.close(),
+                    RefusalNaming::Unnamed => response.close(),
                 }
                 self.entry.placement.borrow_mut().on_request_failed(key, now);
                 Attempt::Failed(AttemptOutcome::Refused, None)
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -182,7 +182,7 @@
             match change {
                 ServerChange::Started(server) => {
                     log::info!("server {} of {} started", server.id, server.service);
-                    self.pool.close_idle(&server.id);
+                    self.pool.forget_server(&server.id);
                     self.grant_cache.borrow_mut().invalidate_server(&server.id);
                     self.placement.borrow_mut().upsert(server);
                     engines_changed = true;
@@ -194,7 +194,7 @@
                 }
                 ServerChange::Removed(server) => {
                     log::info!("server {} was removed", server.id);
-                    self.pool.close_idle(&server.id);
+                    self.pool.forget_server(&server.id);
                     self.grant_cache.borrow_mut().invalidate_server(&server.id);
                     self.placement.borrow_mut().remove(&server.id);
                     engines_changed = true;
