--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use crate::body::{InFlight, ResponseKind, Run};
 use crate::connection_pool::{RefusalNaming, SendError, ServerResponse};
 use crate::headers::strip_hop_by_hop;
-use crate::platform::{ForwardInfo, ResponseInfo};
+use crate::platform::{ForwardInfo, ResponseInfo, RunStatement};
 use crate::prelude::*;
 use crate::record::{Record, Step};
 use crate::refusals::is_refusal_status;
@@ -122,13 +122,18 @@
             let detail = "the answer is another request's".to_owned();
             return self.on_unproven_run(key, None, detail, record);
         }
-        if response_info.is_sealed || response_info.is_not_run {
+        if response_info.is_sealed || response_info.is_not_run() {
             self.entry.on_rate_limit_response(server, response_info, sent_at);
         }
-        if response_info.is_not_run {
+        if response_info.is_not_run() {
             return self.on_refusal(key, server, response, response_info, record);
         }
         let status = response.head.status;
+        if response_info.run_statement == RunStatement::Contradictory {
+            response.close();
+            let detail = format!("an answer {status} that says that the request did not run");
+            return self.on_unproven_run(key, None, detail, record);
+        }
         if !response_info.is_sealed {
             response.close();
             let detail = format!("an answer {status} without a seal");
@@ -172,7 +177,7 @@
         match response_info.id.as_deref() {
             Some(id) => *id != *self.info.id,
             None => {
-                response_info.is_not_run
+                response_info.is_not_run()
                     && !self.entry.pool.is_own_unnamed_refusal(&server.id, response)
             }
         }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -272,8 +272,8 @@
     pub id: Option<Arc<str>>,
     /// Whether the server signed the response as its own.
     pub is_sealed: bool,
-    /// Whether the server states that it did not run the request.
-    pub is_not_run: bool,
+    /// What the response says about whether the request ran.
+    pub run_statement: RunStatement,
     /// The id of the server that responded, if stated.
     pub server: Option<Arc<str>>,
     /// The server's load, if stated.
@@ -284,7 +284,24 @@
     pub notice: ServerNotice,
 }
 
+/// What a response says about whether the server ran the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunStatement {
+    /// Nothing.
+    #[default]
+    None,
+    /// The server did not run the request.
+    NotRun,
+    /// The server did not run the request, but the status is that of one that ran.
+    Contradictory,
+}
+
 impl ResponseInfo {
+    /// Returns whether the server states without a contradiction that it did not run the request.
+    pub fn is_not_run(&self) -> bool {
+        self.run_statement == RunStatement::NotRun
+    }
+
     /// Returns whether the response states that a server other than `id` sent it.
     pub fn is_other_server(&self, id: &str) -> bool {
         self.server.as_deref().is_some_and(|server| server != id)
