--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -10,7 +10,7 @@
 
 use http::{HeaderMap, Request, Response, header};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::collect::collect;
 use crate::prelude::*;
 use crate::read_budget::{BudgetedIo, ReadBudget};
 
@@ -284,9 +285,9 @@
     ) -> Result<(http::response::Parts, Bytes), SendError> {
         let call = async {
             let response = self.send(address, server_id, "", req, clock).await?;
-            let body = Limited::new(response.body, bytes_max).collect().await;
+            let body = collect(response.body, bytes_max).await;
             let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
-            Ok((response.head, body.to_bytes()))
+            Ok((response.head, body))
         };
         let timed = tokio::time::timeout(limit, call).await;
         timed.unwrap_or(Err(SendError::TimedOut(limit)))
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -5,10 +5,10 @@
 use guavaspread_fleet::Caller;
 use guavaspread_model::{Code, ContentId, Refusal};
 use http::{HeaderName, HeaderValue, header, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use crate::access::LOAD_TIMEOUT;
+use crate::collect::{CollectError, collect};
 use crate::forward::Call;
 use crate::prelude::*;
 use crate::record::Record;
@@ -76,13 +76,13 @@
     let deadline = record.started() + timeout;
     let response_due = record.started() + route.latency_objective;
     let remaining = deadline.saturating_sub(entry.clock.now());
-    let collecting = Limited::new(body, catalog.limits.body_bytes_max).collect();
+    let collecting = collect(body, catalog.limits.body_bytes_max);
     let body = match tokio::time::timeout(remaining, collecting).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(CollectError::TooLarge)) => {
             return Err(Refusal::not_run(Code::BodyTooLarge, "the body exceeds the limit"));
         }
-        Ok(Err(e)) => return Err(malformed(format!("the body broke off: {e}"))),
+        Ok(Err(e @ CollectError::Incomplete(_))) => return Err(malformed(e.to_string())),
         Err(_) => return Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
     };
     let quota = entry.acquire_quota(&sender, &info).await?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod caller_io;
 mod callers;
 mod clock;
+mod collect;
 mod connection_pool;
 mod crash_gossip;
 mod crash_probe;
