--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -1,6 +1,9 @@
 //! An HTTP client of backend servers.
 
+use std::cell::Cell;
+use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -10,6 +13,7 @@
 use guavaspread_model::AdapterVersion;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse, Connector};
+use ntex::http::error::PayloadError;
 use ntex::http::{Method, StatusCode, Version, header};
 use ntex::time::{Millis, Seconds, timeout};
 use serde::{Deserialize, Serialize};
@@ -23,6 +27,9 @@
 const CONNECTION_LIFETIME: Seconds = Seconds(30);
 const FENCE_HEADER: &str = "x-fencing-token";
 const END_OF_STREAM: &str = "[DONE]";
+/// Bytes of a stream without a complete event. The parser keeps the incomplete event, which without
+/// a limit would use up the memory.
+const EVENT_BYTES_MAX: usize = 1024 * 1024;
 
 /// An HTTP client of one backend server; must stay on one thread.
 #[derive(Clone)]
@@ -182,21 +189,63 @@
     res: ClientResponse,
     idle_timeout: Duration,
 ) -> impl futures::Stream<Item = Result<ResponsePart>> {
-    let events = Box::pin(res.eventsource());
-    stream::unfold(Some(events), move |state| async move {
-        let mut events = state?;
-        match timeout(idle_timeout, events.next()).await {
+    let event_bytes = Rc::new(Cell::new(0));
+    let events = Box::pin(limit_event(res, event_bytes.clone()).eventsource());
+    stream::unfold(Some((events, event_bytes)), move |state| async move {
+        let (mut events, event_bytes) = state?;
+        let next = timeout(idle_timeout, events.next()).await;
+        event_bytes.set(0);
+        match next {
             Err(()) => Some((Err(Error::new(ErrorCode::TimedOut, "no event received")), None)),
             Ok(None) => Some((Err(Error::new(ErrorCode::Interrupted, "end marker missing")), None)),
             Ok(Some(Err(e))) => Some((Err(Error::new(ErrorCode::Interrupted, e)), None)),
             Ok(Some(Ok(event))) if event.data == END_OF_STREAM => {
                 Some((Ok(ResponsePart::Done), None))
             }
-            Ok(Some(Ok(event))) => Some((Ok(ResponsePart::Data(event.data.into())), Some(events))),
+            Ok(Some(Ok(event))) => {
+                Some((Ok(ResponsePart::Data(event.data.into())), Some((events, event_bytes))))
+            }
+        }
+    })
+}
+
+/// Yields the pieces of a body; fails if an event is larger than [`EVENT_BYTES_MAX`].
+///
+/// `event_bytes` counts the bytes received since it was last set to 0.
+fn limit_event(
+    res: ClientResponse,
+    event_bytes: Rc<Cell<usize>>,
+) -> impl futures::Stream<Item = std::result::Result<Bytes, PieceError>> {
+    res.map(move |piece| {
+        let piece = piece.map_err(PieceError::Payload)?;
+        event_bytes.set(event_bytes.get() + piece.len());
+        match event_bytes.get() > EVENT_BYTES_MAX {
+            true => Err(PieceError::EventTooLarge),
+            false => Ok(Bytes::copy_from_slice(&piece)),
         }
     })
 }
 
+/// The error of a stream's next piece.
+#[derive(Debug)]
+enum PieceError {
+    /// The body broke off.
+    Payload(PayloadError),
+    /// An event exceeds [`EVENT_BYTES_MAX`].
+    EventTooLarge,
+}
+
+impl fmt::Display for PieceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PieceError::Payload(e) => write!(f, "the body broke off: {e}"),
+            PieceError::EventTooLarge => write!(f, "an event exceeds {EVENT_BYTES_MAX} bytes"),
+        }
+    }
+}
+
+impl std::error::Error for PieceError {}
+
 fn body_parts(
     res: ClientResponse,
     idle_timeout: Duration,
