--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -36,6 +36,10 @@
 const IDLE_CONNECTIONS_PER_SERVER_MAX: usize = 16;
 /// Named refusals after which a connection is closed; it remembers the ids of the requests.
 const REFUSALS_PER_CONNECTION_MAX: usize = 32;
+/// Read buffer of a connection, which bounds the head of a response and each piece of its body. As
+/// many buffers of the library's default size, 400 KiB, as a machine has connections would take all
+/// of its memory.
+const READ_BUFFER_BYTES: usize = 32 * 1_024;
 /// How long sent bytes may stay unacknowledged before the kernel closes a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
@@ -130,7 +134,7 @@
     async fn handshake(stream: TcpStream, address: SocketAddr) -> Result<Self, SendError> {
         let read_budget = ReadBudget::default();
         let io = TokioIo::new(BudgetedIo::new(stream, read_budget.clone()));
-        let handshake = http1::Builder::new().handshake(io);
+        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(io);
         let (sender, connection) =
             handshake.await.map_err(|e| SendError::NotSent(e.to_string()))?;
         let driver = tokio::task::spawn_local(async move {
