--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -26,7 +26,8 @@
 use crate::rate_limits::Permit;
 use crate::record::{Record, Step};
 use crate::refusals::{
-    deadline_exceeded, engines_full, no_server, not_loaded, retry_budget_spent, unknown_adapter,
+    deadline_exceeded, engines_full, no_server, not_loaded, retry_budget_spent, stopping,
+    unknown_adapter,
 };
 use crate::respond::problem_response;
 use crate::resume::{Resumer, is_event_stream_type};
@@ -188,6 +189,9 @@
             if self.deadline < self.entry.clock.now() + REMAINING_TIME_MIN {
                 return SendResult::GivenUp(deadline_exceeded(&progress.attempts));
             }
+            if !self.entry.can_send(self.deadline + STREAM_DEADLINE_MARGIN) {
+                return SendResult::GivenUp(stopping(&progress.attempts));
+            }
             if let Some(refusal) = self.check_quarantine(progress, record).await {
                 return SendResult::GivenUp(refusal);
             }
@@ -200,6 +204,10 @@
             if !progress.is_trial && !self.is_admitted() {
                 continue;
             }
+            // The host may have begun to stop while the request waited.
+            if !self.entry.can_send(self.deadline + STREAM_DEADLINE_MARGIN) {
+                continue;
+            }
             if progress.attempts.sent_count() > 0 && !self.entry.try_spend_retry(&self.service) {
                 record.add(Step::NoBudget);
                 return SendResult::GivenUp(retry_budget_spent(&progress.attempts));
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use guavaspread_fleet::Caller;
+use guavaspread_fleet::{Attempts, Caller};
 use guavaspread_model::{Code, ContentId, Refusal};
 use http::{HeaderName, HeaderValue, header, request};
 use hyper::body::Incoming;
@@ -42,8 +42,8 @@
         record.model = info.model.clone();
         record.adapter = info.adapter.clone();
     }
-    if entry.rejects_requests.get() {
-        return Err(stopping());
+    if !entry.accepts_requests() {
+        return Err(stopping(&Attempts::default()));
     }
     await_start(entry).await;
     let Some(catalog) = entry.catalog.borrow().clone() else {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,6 +5,7 @@
 use eyre::{Context, Result};
 use guavaspread_fleet::{
     GrantCache, LeaseManager, LeaseTimes, Placement, RequestLimits, RetryShares, ServerList,
+    StopAction, StopSchedule,
 };
 use guavaspread_model::content_hash;
 use http::StatusCode;
@@ -39,8 +40,10 @@
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_600);
 /// How long the store may take to end the lease of a process that stops.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long the requests that are given up at the end of the grace period take to be answered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Part of the grace period that is reserved for the exit of the process, more than
-/// [`RELEASE_TIMEOUT`].
+/// [`ANSWER_TIME`] and [`RELEASE_TIMEOUT`].
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reads of the settings file, which may change without a signal.
@@ -161,7 +164,7 @@
         crash_gossip: CrashGossip::default(),
         retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
-        rejects_requests: Cell::new(false),
+        stop: Cell::default(),
         cfg: RefCell::new(cfg),
     })
 }
@@ -223,25 +226,27 @@
 }
 
 /// Waits for the requests in flight to finish, at most for the grace period.
-///
-/// Rejects new requests once the load balancer has had time to notice that the host is not ready.
 async fn drain(entry: &Rc<EntryState>) {
     let started = entry.clock.now();
-    entry.stopping.send_replace(true);
     let grace = Duration::from_secs_f64(entry.cfg.borrow().grace_s).saturating_sub(EXIT_RESERVE);
+    let schedule = StopSchedule::new(started, BALANCER_NOTICE_TIME, grace, ANSWER_TIME);
+    entry.stop.set(Some(schedule));
+    entry.stopping.send_replace(true);
     loop {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        let elapsed = entry.clock.now().saturating_sub(started);
+        let now = entry.clock.now();
         let under_way = entry.metrics.under_way.get();
-        if elapsed >= grace {
-            log::warn!("grace period is over; stopping with {under_way} requests in flight");
-            return;
-        }
-        // New requests still arrive if the zone has no other host, and would delay the shutdown.
-        entry.rejects_requests.set(elapsed >= BALANCER_NOTICE_TIME);
-        if elapsed >= BALANCER_NOTICE_TIME && under_way == 0 {
-            log::info!("all requests finished; stopping after {} ms", elapsed.as_millis());
-            return;
+        match schedule.next_action(now, under_way > 0) {
+            StopAction::Wait | StopAction::GiveUp => {}
+            StopAction::Exit if under_way > 0 => {
+                log::warn!("grace period is over; stopping with {under_way} requests in flight");
+                return;
+            }
+            StopAction::Exit => {
+                let elapsed = now.saturating_sub(started);
+                log::info!("all requests finished; stopping after {} ms", elapsed.as_millis());
+                return;
+            }
         }
     }
 }
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -39,9 +39,12 @@
 }
 
 /// Refuses a request because this host is stopping.
-pub(crate) fn stopping() -> Refusal {
-    Refusal::not_run(Code::Stopping, "the host is stopping")
-        .with_retry_after_ms(NOT_READY_RETRY_AFTER_MS)
+pub(crate) fn stopping(attempts: &Attempts) -> Refusal {
+    if attempts.has_not_run() {
+        return Refusal::not_run(Code::Stopping, "the host is stopping")
+            .with_retry_after_ms(NOT_READY_RETRY_AFTER_MS);
+    }
+    Refusal::maybe_ran(Code::BackendFailed, "the host stops before an answer came")
 }
 
 /// Refuses a request because this host has no configuration yet.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,7 +5,8 @@
 use guavaspread_fleet::{
     AdapterId, Availability, Catalog, CrashDetector, Departures, GrantCache, HostLease,
     LeaseManager, LeaseTable, LostEngine, PermitIssuer, Placement, Quarantine, RequestLimits,
-    RetryShares, Server, ServerChange, ServerCrash, ServerList, ServerNotice, revision_era,
+    RetryShares, Server, ServerChange, ServerCrash, ServerList, ServerNotice, StopSchedule,
+    revision_era,
 };
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
@@ -71,8 +72,8 @@
     pub(crate) permit_issuer: RefCell<PermitIssuer>,
     /// Becomes true when the process starts to shut down.
     pub(crate) stopping: watch::Sender<bool>,
-    /// Whether this host rejects new requests.
-    pub(crate) rejects_requests: Cell<bool>,
+    /// What this host still does in a planned stop; `None` until it stops.
+    pub(crate) stop: Cell<Option<StopSchedule>>,
 }
 
 impl EntryState {
@@ -83,6 +84,16 @@
             && self.crash_gossip.has_bootstrapped()
     }
 
+    /// Returns whether this host accepts a request that has just arrived.
+    pub(crate) fn accepts_requests(&self) -> bool {
+        self.stop.get().is_none_or(|stop| stop.accepts_requests(self.clock.now()))
+    }
+
+    /// Returns whether a request may be sent whose response ends by `response_end` at the latest.
+    pub(crate) fn can_send(&self, response_end: Duration) -> bool {
+        self.stop.get().is_none_or(|stop| stop.can_send(self.clock.now(), response_end))
+    }
+
     /// Returns whether this host has a configuration and a server to route to.
     pub(crate) fn has_routable_server(&self) -> bool {
         self.catalog.borrow().is_some()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 //! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
 //! | tell a complete response without a length from a cut one | [`ResponseEnd`], [`Departures`] |
 //! | know which software version began a stream | [`VersionHistory`] |
+//! | decide what a stopping host still does | [`StopSchedule`], [`StopAction`] |
 //! | decide whether a failed attempt may be retried | [`Attempts`], [`RetryDecision`] |
 //!
 //! All times are durations since a fixed reference moment, which is the same for all calls to a
@@ -65,6 +66,7 @@
 mod retry_shares;
 mod revision;
 mod server_list;
+mod stop_schedule;
 mod store_era;
 mod version_history;
 mod watch;
@@ -113,6 +115,7 @@
 pub use server_list::{
     AdapterId, LoadedAdapter, LoadedModel, Server, ServerChange, ServerList, ServerState,
 };
+pub use stop_schedule::{StopAction, StopSchedule};
 pub use store_era::{EraCheck, StatedEra, StoreEra};
 pub use version_history::{VersionCounts, VersionHistory, VersionStart};
 pub use watch::{RelayedServers, WatcherFreshness, watchers_to_follow, zone_watchers};
