--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -55,7 +55,11 @@
 ) -> Result<Response<CallerBody>, Infallible> {
     let mut record = Record::new(&entry, req.version());
     let (head, body) = req.into_parts();
-    match prepare(&entry, caller, head, body, &mut record).await {
+    let prepared = tokio::select! {
+        prepared = prepare(&entry, caller, head, body, &mut record) => prepared,
+        () = entry.until_given_up() => Err(stopping(&Attempts::default())),
+    };
+    match prepared {
         Ok(call) => Ok(call.handle(record).await),
         Err(refusal) => Ok(refuse_request(record, &refusal)),
     }
@@ -111,6 +115,8 @@
     /// The software version that has to run the request.
     software: Option<Arc<str>>,
     was_refused: bool,
+    /// Whether an attempt is in progress.
+    is_sending: bool,
     /// Whether the request is the quarantine's trial of its content.
     is_trial: bool,
     /// Full engines met so far.
@@ -132,6 +138,15 @@
         self.attempts.on_outcome(route, outcome)
     }
 
+    /// Refuses the request because the process exits; an attempt in progress may have run it.
+    fn on_exit(&mut self, route: &Route) -> Refusal {
+        if std::mem::take(&mut self.is_sending) {
+            self.attempts.on_sent();
+            self.attempts.on_outcome(route, AttemptOutcome::Unknown);
+        }
+        stopping(&self.attempts)
+    }
+
     fn exclude(&mut self, server: &Server) {
         self.tried.push(server.id.clone());
     }
@@ -162,7 +177,11 @@
             Err(refusal) => return self.refuse(record, &refusal),
         };
         let mut progress = Progress { software, ..Progress::default() };
-        match self.send(&mut progress, &mut record).await {
+        let sent = tokio::select! {
+            sent = self.send(&mut progress, &mut record) => sent,
+            () = self.entry.until_given_up() => SendResult::GivenUp(progress.on_exit(&self.route)),
+        };
+        match sent {
             SendResult::Response(response, in_flight) => {
                 self.forward_response(*response, in_flight, progress, record)
             }
@@ -212,8 +231,10 @@
                 record.add(Step::NoBudget);
                 return SendResult::GivenUp(retry_budget_spent(&progress.attempts));
             }
+            progress.is_sending = true;
             let attempts = &mut progress.attempts;
             let attempt = self.attempt(key, &server, version, attempts, record).await;
+            progress.is_sending = false;
             let (outcome, response) = match attempt {
                 Attempt::Response(response, mut in_flight) => {
                     hold.on_first_token(self.entry.clock.now());
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -165,6 +165,7 @@
         retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
         stop: Cell::default(),
+        gives_up: watch::Sender::new(false),
         cfg: RefCell::new(cfg),
     })
 }
@@ -237,9 +238,14 @@
         let now = entry.clock.now();
         let under_way = entry.metrics.under_way.get();
         match schedule.next_action(now, under_way > 0) {
-            StopAction::Wait | StopAction::GiveUp => {}
+            StopAction::Wait => {}
+            StopAction::GiveUp => {
+                if !entry.gives_up.send_replace(true) {
+                    log::warn!("grace period is over; giving up {under_way} requests in flight");
+                }
+            }
             StopAction::Exit if under_way > 0 => {
-                log::warn!("grace period is over; stopping with {under_way} requests in flight");
+                log::warn!("stopping with {under_way} requests in flight");
                 return;
             }
             StopAction::Exit => {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -74,6 +74,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// What this host still does in a planned stop; `None` until it stops.
     pub(crate) stop: Cell<Option<StopSchedule>>,
+    /// Becomes true when the requests that are left are given up, as the process exits.
+    pub(crate) gives_up: watch::Sender<bool>,
 }
 
 impl EntryState {
@@ -94,6 +96,12 @@
         self.stop.get().is_none_or(|stop| stop.can_send(self.clock.now(), response_end))
     }
 
+    /// Waits until the requests that are left are given up.
+    pub(crate) async fn until_given_up(&self) {
+        // Fails only if the sender is dropped, and this value holds it.
+        let _ = self.gives_up.subscribe().wait_for(|gives_up| *gives_up).await;
+    }
+
     /// Returns whether this host has a configuration and a server to route to.
     pub(crate) fn has_routable_server(&self) -> bool {
         self.catalog.borrow().is_some()
