--- a/crates/entry/src/caller_io.rs
+++ b/crates/entry/src/caller_io.rs
@@ -22,6 +22,31 @@
 /// is sent on it.
 pub(crate) type ResetOnEnd = Rc<Cell<bool>>;
 
+/// The number of callers' connections with bytes that the kernel has not taken yet.
+pub(crate) type UnsentConnections = Rc<Cell<usize>>;
+
+/// Counts a connection while it has unsent bytes.
+struct UnsentGuard {
+    connections: UnsentConnections,
+    has_unsent: bool,
+}
+
+impl UnsentGuard {
+    fn set(&mut self, has_unsent: bool) {
+        match (std::mem::replace(&mut self.has_unsent, has_unsent), has_unsent) {
+            (false, true) => self.connections.set(self.connections.get() + 1),
+            (true, false) => self.connections.set(self.connections.get() - 1),
+            (false, false) | (true, true) => {}
+        }
+    }
+}
+
+impl Drop for UnsentGuard {
+    fn drop(&mut self) {
+        self.set(false);
+    }
+}
+
 /// What a connection is doing; shared by the connection and its bodies.
 pub(crate) type ConnectionState = Rc<RefCell<CallerConnection>>;
 
@@ -33,6 +58,7 @@
     reset_on_end: ResetOnEnd,
     is_reset_set: bool,
     state: ConnectionState,
+    unsent: UnsentGuard,
     clock: Clock,
 }
 
@@ -41,9 +67,11 @@
         stream: TcpStream,
         reset_on_end: ResetOnEnd,
         state: ConnectionState,
+        connections: UnsentConnections,
         clock: Clock,
     ) -> Self {
-        CallerIo { stream, reset_on_end, is_reset_set: false, state, clock }
+        let unsent = UnsentGuard { connections, has_unsent: false };
+        CallerIo { stream, reset_on_end, is_reset_set: false, state, unsent, clock }
     }
 
     /// Lets the kernel reset the connection when it closes, by a linger time of 0.
@@ -84,6 +112,7 @@
         buf: &[u8],
     ) -> Poll<Result<usize>> {
         self.set_reset_if_needed()?;
+        self.unsent.set(true);
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -93,6 +122,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         self.set_reset_if_needed()?;
+        self.unsent.set(true);
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -101,6 +131,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        // The HTTP library flushes once it has written all that it had buffered.
+        self.unsent.set(false);
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -68,7 +68,8 @@
     let reset_on_end = ResetOnEnd::default();
     let state = CallerConnection::new(read_buffer_bytes, entry.clock.now());
     let state: ConnectionState = Rc::new(RefCell::new(state));
-    let io = CallerIo::new(stream, reset_on_end.clone(), state.clone(), entry.clock);
+    let unsent = entry.unsent_connections.clone();
+    let io = CallerIo::new(stream, reset_on_end.clone(), state.clone(), unsent, entry.clock);
     let (clock, tracked) = (entry.clock, state.clone());
     let handler = service_fn(move |req: Request<Incoming>| {
         let (entry, reset_on_end) = (entry.clone(), reset_on_end.clone());
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -165,6 +165,7 @@
         retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
         stop: Cell::default(),
+        unsent_connections: Rc::default(),
         gives_up: watch::Sender::new(false),
         cfg: RefCell::new(cfg),
     })
@@ -226,7 +227,8 @@
     }
 }
 
-/// Waits for the requests in flight to finish, at most for the grace period.
+/// Waits for the requests in flight to finish and their responses to be sent, at most for the grace
+/// period.
 async fn drain(entry: &Rc<EntryState>) {
     let started = entry.clock.now();
     let grace = Duration::from_secs_f64(entry.cfg.borrow().grace_s).saturating_sub(EXIT_RESERVE);
@@ -237,15 +239,18 @@
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         let now = entry.clock.now();
         let under_way = entry.metrics.under_way.get();
-        match schedule.next_action(now, under_way > 0) {
+        let unsent = entry.unsent_connections.get();
+        match schedule.next_action(now, under_way > 0 || unsent > 0) {
             StopAction::Wait => {}
             StopAction::GiveUp => {
                 if !entry.gives_up.send_replace(true) {
                     log::warn!("grace period is over; giving up {under_way} requests in flight");
                 }
             }
-            StopAction::Exit if under_way > 0 => {
-                log::warn!("stopping with {under_way} requests in flight");
+            StopAction::Exit if under_way > 0 || unsent > 0 => {
+                log::warn!(
+                    "stopping with {under_way} requests in flight and {unsent} unsent responses"
+                );
                 return;
             }
             StopAction::Exit => {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
 
+use crate::caller_io::UnsentConnections;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_gossip::CrashGossip;
 use crate::feed_relay::FeedRelay;
@@ -74,6 +75,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// What this host still does in a planned stop; `None` until it stops.
     pub(crate) stop: Cell<Option<StopSchedule>>,
+    /// Callers' connections with a part of a response that the kernel has not taken yet.
+    pub(crate) unsent_connections: UnsentConnections,
     /// Becomes true when the requests that are left are given up, as the process exits.
     pub(crate) gives_up: watch::Sender<bool>,
 }
