--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,11 +5,13 @@
 use guavaspread_fleet::{
     AdapterId, Availability, Catalog, CrashDetector, Departures, GrantCache, HostLease,
     LeaseManager, LeaseTable, LostEngine, PermitIssuer, Placement, Quarantine, RequestLimits,
-    RetryShares, Server, ServerChange, ServerCrash, ServerList, ServerNotice, revision_era,
+    RetryShares, Server, ServerChange, ServerCrash, ServerList, ServerNotice, StopSchedule,
+    revision_era,
 };
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
 
+use crate::caller_io::UnsentConnections;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_gossip::CrashGossip;
 use crate::feed_relay::FeedRelay;
@@ -71,8 +73,12 @@
     pub(crate) permit_issuer: RefCell<PermitIssuer>,
     /// Becomes true when the process starts to shut down.
     pub(crate) stopping: watch::Sender<bool>,
-    /// Whether this host rejects new requests.
-    pub(crate) rejects_requests: Cell<bool>,
+    /// What this host still does in a planned stop; `None` until it stops.
+    pub(crate) stop: Cell<Option<StopSchedule>>,
+    /// Callers' connections with a part of a response that the kernel has not taken yet.
+    pub(crate) unsent_connections: UnsentConnections,
+    /// Becomes true when the requests that are left are given up, as the process exits.
+    pub(crate) gives_up: watch::Sender<bool>,
 }
 
 impl EntryState {
@@ -83,6 +89,22 @@
             && self.crash_gossip.has_bootstrapped()
     }
 
+    /// Returns whether this host accepts a request that has just arrived.
+    pub(crate) fn accepts_requests(&self) -> bool {
+        self.stop.get().is_none_or(|stop| stop.accepts_requests(self.clock.now()))
+    }
+
+    /// Returns whether a request may be sent whose response ends by `response_end` at the latest.
+    pub(crate) fn can_send(&self, response_end: Duration) -> bool {
+        self.stop.get().is_none_or(|stop| stop.can_send(self.clock.now(), response_end))
+    }
+
+    /// Waits until the requests that are left are given up.
+    pub(crate) async fn until_given_up(&self) {
+        // Fails only if the sender is dropped, and this value holds it.
+        let _ = self.gives_up.subscribe().wait_for(|gives_up| *gives_up).await;
+    }
+
     /// Returns whether this host has a configuration and a server to route to.
     pub(crate) fn has_routable_server(&self) -> bool {
         self.catalog.borrow().is_some()
