Keep within the rejections that brittle servers can bear

Callers would lose a service whose servers say Server-Brittle: under overload each of them turns more requests away in a second than it can bear, falls over, and its load moves to the next one.

Cause: nothing read the header. A full queue cost a server half of its slots in the choice for some seconds, on the host that was turned away; all hosts together went on filling the queues.

Why this works: a host sends to such a server on what the server told this host, or on its share of the room and of a quarter of N, so that the sum over all hosts is bounded whoever sends. Permits of one coordinator were not used: they space requests, and what a server bears depends on its room.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -296,8 +296,9 @@
         if !has_permit && self.acquire_permit(&server, progress, record).await == Permit::Denied {
             return Selection::Next;
         }
-        if !self.is_ready(&server) {
-            // The server became unavailable while the request waited for another permit.
+        let can_take = self.entry.placement.borrow().can_take(key, self.entry.clock.now());
+        if !can_take || !self.is_ready(&server) {
+            // The server became unavailable, or its room was used up, while the request waited.
             progress.exclude(&server);
             return Selection::Next;
         }
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one server and classifies the response.
 
 use guavaspread_fleet::{AttemptOutcome, Attempts, ConnectionLoss, PlacementKey, Server};
-use http::{Request, header};
+use http::{Request, StatusCode, header};
 use http_body_util::Full;
 
 use super::{Attempt, Call};
@@ -124,6 +124,9 @@
         }
         if response_info.is_sealed || response_info.is_not_run {
             self.entry.on_rate_limit_response(server, response_info, sent_at);
+            let is_rejected =
+                response_info.is_not_run && response.head.status == StatusCode::SERVICE_UNAVAILABLE;
+            self.entry.on_rejection_limit(server, response_info, is_rejected, sent_at);
         }
         if response_info.is_not_run {
             return self.on_refusal(key, server, response, response_info, record);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,8 +4,9 @@
 
 use guavaspread_fleet::{
     AdapterId, Availability, Catalog, CrashDetector, Departures, GrantCache, HostLease,
-    LeaseManager, LeaseTable, LostEngine, PermitIssuer, Placement, Quarantine, RequestLimits,
-    RetryShares, Server, ServerChange, ServerCrash, ServerList, ServerNotice, revision_era,
+    LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer, Placement, Quarantine,
+    RejectionNotice, RequestLimits, RetryShares, Server, ServerChange, ServerCrash, ServerList,
+    ServerNotice, revision_era,
 };
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
@@ -17,7 +18,7 @@
 use crate::metrics::Metrics;
 use crate::owned_engines::OwnedEngines;
 use crate::peers::Peers;
-use crate::platform::PlatformClients;
+use crate::platform::{PlatformClients, ResponseInfo};
 use crate::prelude::*;
 use crate::quotas::Quotas;
 use crate::settings::EntrySettings;
@@ -248,6 +249,38 @@
         self.on_rate_limit(server, notice.rate_limit);
     }
 
+    /// Applies what a server's response to a request sent at `sent_at` says about the rejections that
+    /// the server can bear.
+    pub(crate) fn on_rejection_limit(
+        &self,
+        server: &Server,
+        response_info: &ResponseInfo,
+        is_rejected: bool,
+        sent_at: Duration,
+    ) {
+        if response_info.is_other_server(&server.id) {
+            return;
+        }
+        let limit = response_info.notice.rejection_limit;
+        if limit == NamedLimit::Invalid {
+            self.metrics.rate_limits_invalid.inc();
+            log::debug!("server {} named an invalid limit of rejections, ignored", server.id);
+        }
+        let notice = RejectionNotice { limit, is_rejected, sent_at };
+        let now = self.clock.now();
+        if self.placement.borrow_mut().on_rejection_notice(server, notice, now) {
+            match limit {
+                NamedLimit::Limit(limit) => log::info!(
+                    "server {} crashes when it rejects more than {limit}; requests keep to its room",
+                    server.id
+                ),
+                NamedLimit::Absent | NamedLimit::Invalid => {
+                    log::info!("server {} names no limit of rejections any more", server.id);
+                }
+            }
+        }
+    }
+
     /// Returns whether a server accepts requests from this host.
     pub(crate) fn availability(&self, server: &Server) -> Availability {
         self.placement.borrow().availability(server, self.clock.now())
@@ -273,6 +306,7 @@
         let now = self.clock.now();
         let predecessor_age = self.leases.borrow().predecessor_age(now);
         self.retry_shares.borrow_mut().on_holders(holder_count, predecessor_age, now);
+        self.placement.borrow_mut().set_host_count(holder_count);
     }
 
     /// Adds a request to the retry budget of its service.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -99,7 +99,8 @@
 };
 pub use persisted_contents::PersistedContents;
 pub use placement::{
-    LoadReport, Pick, Placement, PlacementKey, ServerFilter, ZoneChoice, choose_zone, leaving_share,
+    LoadReport, Pick, Placement, PlacementKey, RejectionNotice, ServerFilter, ZoneChoice,
+    choose_zone, leaving_share,
 };
 pub use prefill_queue::{PrefillAdmission, PrefillQueue, Prompt, PromptKey};
 pub use prompt_parts::{ClearedParts, PartsAdmission, PromptParts};
--- a/crates/fleet/src/notices.rs
+++ b/crates/fleet/src/notices.rs
@@ -28,6 +28,8 @@
     pub retry_after: Option<Duration>,
     /// The rate of requests that the server accepts from all entry hosts together.
     pub rate_limit: NamedLimit,
+    /// The rate of rejections, of all entry hosts' requests together, beyond which the server crashes.
+    pub rejection_limit: NamedLimit,
 }
 
 /// Whether a server accepts requests of this host.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,6 +14,7 @@
 //! Services without models are placed by load, with a preference for the entry host's own zone. Where
 //! their servers state their pace, requests leave the zone only when that pays.
 
+mod brittle;
 mod candidate;
 mod pace;
 mod plain;
@@ -25,6 +26,7 @@
 use guavaspread_placement::{Demand, DemandMap};
 use slotmap::{SlotMap, new_key_type};
 
+pub use self::brittle::RejectionNotice;
 use self::candidate::Candidate;
 pub use self::candidate::LoadReport;
 pub use self::zone_choice::{ZoneChoice, choose_zone, leaving_share};
@@ -111,6 +113,7 @@
     rotation: Cell<usize>,
     zone_crossing_cost: f64,
     draw_seed: u64,
+    host_count: usize,
     left_zone: Cell<u64>,
 }
 
@@ -128,6 +131,7 @@
             rotation: Cell::new(0),
             zone_crossing_cost: ZONE_CROSSING_COST,
             draw_seed: 0,
+            host_count: 1,
             left_zone: Cell::new(0),
         }
     }
@@ -330,7 +334,7 @@
     /// Records that a request was sent to a server.
     pub fn on_request_sent(&mut self, key: PlacementKey) {
         if let Some(candidate) = self.candidates.get_mut(key) {
-            candidate.in_flight += 1;
+            candidate.on_request_sent();
             self.rate_limits.on_sent(&candidate.server);
         }
     }
@@ -418,19 +422,22 @@
         models.is_some_and(|models| models.iter().any(|loaded| &*loaded.name == model))
     }
 
-    /// Lists the servers that accept requests; unreachable ones only if there are no others.
+    /// Lists the servers that accept requests; unreachable ones only if there are no others, brittle
+    /// ones only if they have room.
     fn available(
         &self,
         servers: ServerFilter<'_>,
         tried: &[Arc<str>],
         now: Duration,
     ) -> Vec<PlacementKey> {
+        let unheard = self.rejection_limit(servers, now);
         let available: Vec<PlacementKey> = self
             .candidates
             .iter()
             .filter(|(_, c)| servers.accepts(&c.server))
             .filter(|(_, c)| self.availability(&c.server, now) == Availability::Available)
             .filter(|(_, c)| !tried.contains(&c.server.id))
+            .filter(|(_, c)| self.has_room(c, unheard, now))
             .map(|(key, _)| key)
             .collect();
         let is_reachable =
--- a/crates/fleet/src/placement/candidate.rs
+++ b/crates/fleet/src/placement/candidate.rs
@@ -2,6 +2,7 @@
 
 use guavaspread_placement::Demand;
 
+use super::brittle::Brittle;
 use super::pace::Pace;
 use crate::prelude::*;
 use crate::server_list::Server;
@@ -15,7 +16,7 @@
 const FAILURE_COST: f64 = 0.5;
 /// How long a load report counts, with linearly decreasing weight. A request lasts 2 to 3 seconds,
 /// so an older report says little about the current load.
-const LOAD_REPORT_TTL: Duration = Duration::from_millis(4_000);
+pub(super) const LOAD_REPORT_TTL: Duration = Duration::from_millis(4_000);
 
 /// A server's report of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +36,12 @@
     /// Requests of this host at the server.
     pub(super) in_flight: u32,
     report: Option<(LoadReport, Duration)>,
+    /// Requests of this host sent since the last load report.
+    sent_since_report: u32,
+    /// `None` for a server that does not crash by rejecting requests.
+    pub(super) brittle: Option<Brittle>,
+    /// When the last request was sent whose response named no limit of rejections.
+    pub(super) unlimited_at: Option<Duration>,
     /// `None` for a server that states none.
     pace: Option<Pace>,
     failures: Demand,
@@ -49,6 +56,9 @@
             server,
             in_flight: 0,
             report: None,
+            sent_since_report: 0,
+            brittle: None,
+            unlimited_at: None,
             pace: None,
             failures: Demand::default(),
             cooldown_until: Duration::ZERO,
@@ -66,8 +76,27 @@
         }
     }
 
+    pub(super) fn on_request_sent(&mut self) {
+        self.in_flight += 1;
+        self.sent_since_report = self.sent_since_report.saturating_add(1);
+    }
+
+    /// Returns the last load report if it arrived after `since`.
+    pub(super) fn report_since(&self, since: Duration) -> Option<LoadReport> {
+        self.report.filter(|(_, at)| *at > since).map(|(report, _)| report)
+    }
+
+    /// Returns the number of this host's requests that no recent load report includes.
+    pub(super) fn unreported_count(&self, now: Duration) -> u32 {
+        match self.report_since(now.saturating_sub(LOAD_REPORT_TTL)) {
+            Some(_) => self.sent_since_report,
+            None => self.in_flight,
+        }
+    }
+
     pub(super) fn on_load_report(&mut self, report: LoadReport, now: Duration) {
         self.report = Some((report, now));
+        self.sent_since_report = 0;
         self.unreachable_count = 0;
     }
 
--- a/crates/fleet/src/placement/plain.rs
+++ b/crates/fleet/src/placement/plain.rs
@@ -15,6 +15,13 @@
 /// Servers that are compared where servers state their pace.
 const SAMPLE_SIZE: usize = 2;
 
+/// Returns a number from 0 to below 1 that the seed determines.
+pub(super) fn unit_draw(seed: [u64; 3]) -> f64 {
+    let bytes: Vec<u8> = seed.iter().flat_map(|part| part.to_le_bytes()).collect();
+    // The 53 bits that a float holds; all 64 would round up to 1.
+    (content_hash(&bytes) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 impl Placement {
     /// Chooses a server of a service without models, excluding the servers already tried.
     pub fn pick_server<'a>(
@@ -61,10 +68,7 @@
 
     /// Returns a number from 0 to below 1 for this choice, another one for each salt.
     fn draw(&self, salt: u64) -> f64 {
-        let seed = [self.draw_seed, self.rotation.get() as u64, salt];
-        let bytes: Vec<u8> = seed.iter().flat_map(|part| part.to_le_bytes()).collect();
-        // The 53 bits that a float holds; all 64 would round up to 1.
-        (content_hash(&bytes) >> 11) as f64 / (1_u64 << 53) as f64
+        unit_draw([self.draw_seed, self.rotation.get() as u64, salt])
     }
 
     /// Returns the number of choices that left the zone.
--- a/crates/fleet/tests/notices.rs
+++ b/crates/fleet/tests/notices.rs
@@ -19,8 +19,12 @@
 const STEPS: usize = 60;
 const IDS: [&str; 3] = ["a", "b", "c"];
 const NOW: Duration = Duration::from_secs(10);
-const DRAINING: ServerNotice =
-    ServerNotice { is_draining: true, retry_after: None, rate_limit: NamedLimit::Absent };
+const DRAINING: ServerNotice = ServerNotice {
+    is_draining: true,
+    retry_after: None,
+    rate_limit: NamedLimit::Absent,
+    rejection_limit: NamedLimit::Absent,
+};
 
 fn busy(ms: u64) -> ServerNotice {
     ServerNotice { retry_after: Some(Duration::from_millis(ms)), ..ServerNotice::default() }
