--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,7 +51,8 @@
 pub use connection_pool::{ConnectionPool, ResponseBody, SendError, ServerResponse};
 pub use platform::{
     EngineClient, EngineReport, Feed, FeedBatch, FeedRow, ForwardInfo, Platform, PlatformClients,
-    Protocol, RequestInfo, ResponseInfo, Sender, Store, StoreError, StreamVersionRow, WriteOutcome,
+    Protocol, ReportError, RequestInfo, ResponseInfo, Sender, Store, StoreError, StreamVersionRow,
+    WriteOutcome,
 };
 pub use process::run;
 pub use settings::{EntrySettings, STORE_READ_TIMEOUT_MS, SettingsError};
--- a/crates/entry/src/owned_engines.rs
+++ b/crates/entry/src/owned_engines.rs
@@ -2,15 +2,16 @@
 //! adapters.
 
 use guavaspread_fleet::{
-    AdapterId, AdapterScheduler, Admission, Availability, CommandKind, CommandResult,
-    CrashEvidence, PrefillAdmission, PrefillQueue, Prompt, PromptKey, Readiness, SchedulerStep,
-    Server, ServerCrash,
+    AdapterId, AdapterScheduler, Admission, Availability, CallOutcome, CommandKind, CommandResult,
+    CrashEvidence, EngineCommand, EngineReach, PrefillAdmission, PrefillQueue, Prompt, PromptKey,
+    Reach, Readiness, SchedulerStep, Server, ServerCrash,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::admission;
 use crate::peer_message::{AdapterRequest, AdapterStatus};
+use crate::platform::ReportError;
 use crate::prelude::*;
 use crate::state::EntryState;
 
@@ -35,6 +36,9 @@
     /// Wakes requests that wait for their prefill, after the prefill queue changed.
     prefill_changed: Notify,
     started_at_ms: u64,
+    /// The outcomes of this host's calls to the engine.
+    reach: RefCell<EngineReach>,
+    last_reach: Cell<Reach>,
 }
 
 struct EngineTask {
@@ -79,12 +83,23 @@
                 prefill_queue: RefCell::default(),
                 prefill_changed: Notify::new(),
                 started_at_ms: server.started_at_ms,
+                reach: RefCell::default(),
+                last_reach: Cell::new(Reach::Reached),
             });
             let task = tokio::task::spawn_local(run_engine(entry.clone(), owned.clone(), server));
             let fence = entry.leases.borrow().fence(&id, now);
             log::info!("this host owns engine {id} and sends its commands with fence {fence:?}");
             engines.insert(id, EngineTask { owned, task });
         }
+        drop(engines);
+        entry.metrics.engines_silent.set(self.silent_count());
+    }
+
+    /// Returns the number of owned engines that respond to no call of this host.
+    fn silent_count(&self) -> i64 {
+        let engines = self.engines.borrow();
+        let is_silent = |engine: &&EngineTask| engine.owned.last_reach.get() != Reach::Reached;
+        engines.values().filter(is_silent).count() as i64
     }
 
     /// Records a newer version of an adapter for all owned engines.
@@ -350,39 +365,13 @@
         let step = owned.scheduler.borrow_mut().next_step(now);
         match step {
             SchedulerStep::Send(command) => {
-                let engines = &entry.platform.engines;
-                let (result, notice) =
-                    engines.send_command(&server, &command, &entry.holder, fence).await;
-                entry.on_server_notice(&server, notice);
-                entry.metrics.orders.inc();
-                log::debug!("engine {}: {command:?} -> {result:?}", server.id);
-                owned.scheduler.borrow_mut().on_command_result(result, entry.clock.now());
-                if let (CommandKind::Load { adapter, .. }, CommandResult::Completed) =
-                    (&command.kind, result)
-                {
-                    let id = AdapterId { model: command.model.clone(), adapter: adapter.clone() };
-                    entry.on_completed(entry.load_content(&id));
-                }
+                let reach = send_command(&entry, &owned, &server, command, fence).await;
+                on_reach(&entry, &owned, &server, reach);
                 owned.engine_changed.notify_waiters();
             }
             SchedulerStep::FetchReport => {
-                let (report, notice) = entry.platform.engines.fetch_report(&server).await;
-                entry.on_server_notice(&server, notice);
-                let now = entry.clock.now();
-                let mut scheduler = owned.scheduler.borrow_mut();
-                match report {
-                    Ok(report) => {
-                        scheduler.on_report(report.sequence, &report.models, &report.loading, now);
-                    }
-                    Err(e) => {
-                        log::warn!(
-                            "fetching the report of engine {} failed, will retry: {e}",
-                            server.id
-                        );
-                        scheduler.on_report_failed(now);
-                    }
-                }
-                drop(scheduler);
+                let reach = fetch_report(&entry, &owned, &server).await;
+                on_reach(&entry, &owned, &server, reach);
                 owned.engine_changed.notify_waiters();
             }
             SchedulerStep::Wait(at) => {
@@ -397,3 +386,70 @@
         }
     }
 }
+
+/// Sends a command and records its result; returns whether the engine is reached.
+async fn send_command(
+    entry: &Rc<EntryState>,
+    owned: &OwnedEngine,
+    server: &Server,
+    command: EngineCommand,
+    fence: u64,
+) -> Reach {
+    let engines = &entry.platform.engines;
+    let started_at = entry.clock.now();
+    let (result, notice) = engines.send_command(server, &command, &entry.holder, fence).await;
+    entry.on_server_notice(server, notice);
+    entry.metrics.orders.inc();
+    log::debug!("engine {}: {command:?} -> {result:?}", server.id);
+    let now = entry.clock.now();
+    owned.scheduler.borrow_mut().on_command_result(result, now);
+    if let (CommandKind::Load { adapter, .. }, CommandResult::Completed) = (&command.kind, result) {
+        let id = AdapterId { model: command.model.clone(), adapter: adapter.clone() };
+        entry.on_completed(entry.load_content(&id));
+    }
+    owned.reach.borrow_mut().on_command(result.call_outcome(), started_at, now)
+}
+
+/// Fetches an engine's report and applies it; returns whether the engine is reached.
+async fn fetch_report(entry: &Rc<EntryState>, owned: &OwnedEngine, server: &Server) -> Reach {
+    let started_at = entry.clock.now();
+    let (report, notice) = entry.platform.engines.fetch_report(server).await;
+    entry.on_server_notice(server, notice);
+    let now = entry.clock.now();
+    let mut scheduler = owned.scheduler.borrow_mut();
+    let outcome = match report {
+        Ok(report) => {
+            scheduler.on_report(report.sequence, &report.models, &report.loading, now);
+            CallOutcome::Answered
+        }
+        Err(e) => {
+            log::warn!("fetching the report of engine {} failed, will retry: {e}", server.id);
+            scheduler.on_report_failed(now);
+            match e {
+                ReportError::NoResponse(_) => CallOutcome::NoResponse,
+                ReportError::Invalid(_) => CallOutcome::Answered,
+            }
+        }
+    };
+    owned.reach.borrow_mut().on_call(outcome, started_at, now)
+}
+
+/// Logs a change of whether an engine is reached.
+fn on_reach(entry: &Rc<EntryState>, owned: &Rc<OwnedEngine>, server: &Server, reach: Reach) {
+    if owned.last_reach.replace(reach) == reach {
+        return;
+    }
+    match reach {
+        Reach::Reached => {
+            log::info!("engine {} responds to its owner, this host, again", server.id)
+        }
+        Reach::Silent => {
+            log::warn!("engine {} responds to no call of its owner, this host", server.id)
+        }
+        Reach::OutOfReach => log::warn!(
+            "engine {} is out of reach of its owner, this host, which can load no adapters there",
+            server.id
+        ),
+    }
+    entry.metrics.engines_silent.set(entry.owned_engines.silent_count());
+}
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -3,6 +3,7 @@
 //! A platform implements these traits for its own formats. The implementations translate and
 //! make no decisions.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
@@ -324,6 +325,22 @@
     pub loading: Vec<(AdapterId, u64)>,
 }
 
+/// Why there is no report of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReportError {
+    /// The engine did not respond.
+    NoResponse(String),
+    /// The engine's response is no report.
+    Invalid(String),
+}
+
+impl fmt::Display for ReportError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (ReportError::NoResponse(detail) | ReportError::Invalid(detail)) = self;
+        f.write_str(detail)
+    }
+}
+
 /// A client of the model engines.
 #[async_trait(?Send)]
 pub trait EngineClient {
@@ -341,7 +358,10 @@
     /// Reads an engine's report; also returns the notice in the engine's response.
     ///
     /// The `Err` of the result is the reason why there is no report.
-    async fn fetch_report(&self, server: &Server) -> (Result<EngineReport, String>, ServerNotice);
+    async fn fetch_report(
+        &self,
+        server: &Server,
+    ) -> (Result<EngineReport, ReportError>, ServerNotice);
 }
 
 /// The platform's implementations that an entry host uses.
--- a/crates/fleet/src/adapter_scheduler/command_results.rs
+++ b/crates/fleet/src/adapter_scheduler/command_results.rs
@@ -17,7 +17,10 @@
             return;
         };
         let unanswered = self.unanswered.take();
-        if !matches!(result, CommandResult::Refused | CommandResult::NoResponse) {
+        if !matches!(
+            result,
+            CommandResult::Refused | CommandResult::NotSent | CommandResult::NoResponse
+        ) {
             self.refused_until = Duration::ZERO;
         }
         if result != CommandResult::NoResponse
@@ -53,7 +56,7 @@
                 }
                 self.resume_at = now + POLL_INTERVAL;
             }
-            (CommandResult::Refused, unanswered) => {
+            (CommandResult::Refused | CommandResult::NotSent, unanswered) => {
                 self.unanswered = unanswered;
                 self.resume_at = now + REFUSED_BACKOFF;
                 self.refused_until = now + REFUSED_COOLDOWN;
--- a/crates/fleet/src/engine_command.rs
+++ b/crates/fleet/src/engine_command.rs
@@ -1,5 +1,6 @@
 //! Commands to an engine and their results.
 
+use crate::engine_reach::CallOutcome;
 use crate::prelude::*;
 
 /// The operation of a command.
@@ -46,10 +47,27 @@
     Refused,
     /// The model, adapter or version does not exist; the engine did nothing.
     NotFound,
+    /// The command was not sent, because no connection to the engine could be opened.
+    NotSent,
     /// No response arrived; the engine may have accepted the command.
     NoResponse,
 }
 
+impl CommandResult {
+    /// Returns the outcome of the command as a call to the engine.
+    pub fn call_outcome(self) -> CallOutcome {
+        match self {
+            CommandResult::Accepted
+            | CommandResult::Completed
+            | CommandResult::Conflict
+            | CommandResult::Refused
+            | CommandResult::NotFound => CallOutcome::Answered,
+            CommandResult::NotSent => CallOutcome::NotSent,
+            CommandResult::NoResponse => CallOutcome::NoResponse,
+        }
+    }
+}
+
 /// Whether an adapter can be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 //! | attribute server crashes to requests | [`CrashDetector`], [`ServerCrash`] |
 //! | quarantine content that crashes servers | [`Quarantine`], [`Admission`] |
 //! | quarantine prompt parts that crash servers | [`PromptParts`], [`PartsAdmission`] |
+//! | tell an engine out of its owner's reach from one that pauses | [`EngineReach`] |
 //! | divide the retry budget of a service among hosts | [`RetryShares`] |
 //! | forward only complete events of a stream | [`EventFramer`] |
 //! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
@@ -44,6 +45,7 @@
 mod catalog;
 mod crash_detector;
 mod engine_command;
+mod engine_reach;
 mod event_framer;
 mod event_scanner;
 mod feed_timing;
@@ -80,6 +82,7 @@
     ConnectionLoss, CrashDetector, CrashEvidence, LossAction, ProbeResult, ServerCrash,
 };
 pub use engine_command::{CommandKind, CommandResult, EngineCommand, Readiness, SchedulerStep};
+pub use engine_reach::{CallOutcome, EngineReach, Reach};
 pub use event_framer::EventFramer;
 pub use event_scanner::{EventScanner, StreamPosition};
 pub use feed_timing::FeedTiming;
