--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -72,7 +72,8 @@
     Granted(Option<u64>, AdapterHold),
     /// The request may not be sent.
     Denied,
-    /// The engine's owner does not respond; an adapter may be loaded there after this time.
+    /// The engine's owner does not respond or released it; an adapter may be loaded there after this
+    /// time.
     OwnerLost(Duration),
     /// The engine would have to fetch the adapter from the weight store.
     FetchRequired,
@@ -198,7 +199,8 @@
     }
 }
 
-/// Denies access, with the time until an adapter may be loaded if the engine's owner is lost.
+/// Denies access, with the time until an adapter may be loaded if the engine has no owner that
+/// reaches it.
 fn denied(entry: &EntryState, server: &Server) -> Access {
     let wait = entry.leases.borrow().load_wait(&server.id, entry.clock.now());
     wait.map_or(Access::Denied, Access::OwnerLost)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod connection_pool;
 mod crash_gossip;
 mod crash_probe;
+mod engine_probes;
 mod feed_relay;
 mod forward;
 mod headers;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -90,6 +90,8 @@
     pub(crate) store_restores: Counter,
     /// Engines that were lost after a return of the store.
     pub(crate) engines_lost: Counter,
+    /// Engines that this host released because it did not reach them.
+    pub(crate) engines_released: Counter,
     /// Owned engines that respond to no call of this host.
     pub(crate) engines_silent: Gauge,
     /// Configurations that were read and are older than the one in force.
@@ -137,6 +139,7 @@
             sends_to_unavailable: Counter::default(),
             store_restores: Counter::default(),
             engines_lost: Counter::default(),
+            engines_released: Counter::default(),
             engines_silent: Gauge::default(),
             configs_outdated: Counter::default(),
             unknown_keys: Counter::default(),
@@ -273,6 +276,11 @@
             "Engines that this host lost after the store came back from an older copy",
             metrics.engines_lost.clone(),
         );
+        registry.register(
+            "engines_released",
+            "Engines that this host released because it did not reach them",
+            metrics.engines_released.clone(),
+        );
         registry.register(
             "engines_silent",
             "Engines that this host owns and that respond to none of its calls",
--- a/crates/entry/src/owned_engines.rs
+++ b/crates/entry/src/owned_engines.rs
@@ -1,23 +1,21 @@
 //! Sends load and unload commands to the engines that this host owns, and grants the use of their
 //! adapters.
 
+mod engine_task;
+
 use guavaspread_fleet::{
-    AdapterId, AdapterScheduler, Admission, Availability, CallOutcome, CommandKind, CommandResult,
-    CrashEvidence, EngineCommand, EngineReach, PrefillAdmission, PrefillQueue, Prompt, PromptKey,
-    Reach, Readiness, SchedulerStep, Server, ServerCrash,
+    AdapterId, AdapterScheduler, Admission, Availability, CrashEvidence, EngineReach,
+    PrefillAdmission, PrefillQueue, Prompt, PromptKey, Reach, Readiness, Server, ServerCrash,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use self::engine_task::run_engine;
 use crate::admission;
 use crate::peer_message::{AdapterRequest, AdapterStatus};
-use crate::platform::ReportError;
 use crate::prelude::*;
 use crate::state::EntryState;
 
-/// Interval between checks of an idle engine.
-const IDLE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Interval between keep-alive messages to a host that waits for a load. A load takes about
 /// 300 ms; the messages distinguish a slow load from a stalled owner.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(150);
@@ -39,6 +37,8 @@
     /// The outcomes of this host's calls to the engine.
     reach: RefCell<EngineReach>,
     last_reach: Cell<Reach>,
+    /// Whether this host released the engine because it does not reach it.
+    is_released: Cell<bool>,
 }
 
 struct EngineTask {
@@ -50,6 +50,9 @@
 #[derive(Default)]
 pub(crate) struct OwnedEngines {
     engines: RefCell<HashMap<Arc<str>, EngineTask>>,
+    /// Engines that this host released and that have no new owner. A crash that becomes known
+    /// afterwards is attributed to the loads that were in flight.
+    released: RefCell<HashMap<Arc<str>, Rc<OwnedEngine>>>,
 }
 
 impl OwnedEngines {
@@ -68,6 +71,9 @@
             if !is_kept {
                 engine.task.abort();
             }
+            if engine.owned.is_released.get() {
+                self.released.borrow_mut().insert(id.clone(), engine.owned.clone());
+            }
             is_kept
         });
         for id in owned {
@@ -85,16 +91,41 @@
                 started_at_ms: server.started_at_ms,
                 reach: RefCell::default(),
                 last_reach: Cell::new(Reach::Reached),
+                is_released: Cell::new(false),
             });
             let task = tokio::task::spawn_local(run_engine(entry.clone(), owned.clone(), server));
             let fence = entry.leases.borrow().fence(&id, now);
             log::info!("this host owns engine {id} and sends its commands with fence {fence:?}");
             engines.insert(id, EngineTask { owned, task });
         }
+        self.released.borrow_mut().retain(|id, released| {
+            let (leases, server_list) = (entry.leases.borrow(), entry.server_list.borrow());
+            let has_owner = leases.owner_of(id).is_some_and(|(holder, _)| *holder != entry.holder);
+            let server = server_list.get(id);
+            let is_same = server.is_some_and(|s| s.started_at_ms == released.started_at_ms);
+            is_same && !has_owner && !engines.contains_key(id)
+        });
         drop(engines);
         entry.metrics.engines_silent.set(self.silent_count());
     }
 
+    /// Fetches the reports of the other engines after one fell silent: this host may be partitioned
+    /// from all of them.
+    fn check_others(&self, silent: &str, now: Duration) {
+        for (id, engine) in self.engines.borrow().iter() {
+            if **id != *silent && engine.owned.last_reach.get() == Reach::Reached {
+                engine.owned.scheduler.borrow_mut().on_adapter_missing(now);
+                engine.owned.requests_changed.notify_one();
+            }
+        }
+    }
+
+    /// Returns an engine that this host owns, or that it released and nobody has claimed since.
+    fn last_owned(&self, id: &str) -> Option<Rc<OwnedEngine>> {
+        let owned = self.engines.borrow().get(id).map(|engine| engine.owned.clone());
+        owned.or_else(|| self.released.borrow().get(id).cloned())
+    }
+
     /// Returns the number of owned engines that respond to no call of this host.
     fn silent_count(&self) -> i64 {
         let engines = self.engines.borrow();
@@ -117,11 +148,11 @@
         server: &Server,
         started_at_ms: u64,
     ) -> Vec<ServerCrash> {
-        let engines = self.engines.borrow();
-        let engine =
-            engines.get(&server.id).filter(|engine| engine.owned.started_at_ms == started_at_ms);
-        let Some(engine) = engine else { return Vec::new() };
-        let loading = engine.owned.scheduler.borrow().pending_loads();
+        let owned = self.last_owned(&server.id);
+        let Some(owned) = owned.filter(|owned| owned.started_at_ms == started_at_ms) else {
+            return Vec::new();
+        };
+        let loading = owned.scheduler.borrow().pending_loads();
         let evidence = if server.started_at_ms == started_at_ms {
             CrashEvidence::RowRemoved
         } else {
@@ -135,9 +166,9 @@
         loading.iter().map(crash).collect()
     }
 
-    /// Returns the incarnation of an engine to which this host sends commands.
+    /// Returns the incarnation of an engine to which this host sent commands as its last owner.
     pub(crate) fn started_at_ms(&self, engine: &str) -> Option<u64> {
-        self.engines.borrow().get(engine).map(|engine| engine.owned.started_at_ms)
+        self.last_owned(engine).map(|owned| owned.started_at_ms)
     }
 
     /// Waits until an adapter is loaded and grants its use.
@@ -176,6 +207,9 @@
             tokio::pin!(engine_changed);
             engine_changed.as_mut().enable();
             let now = entry.clock.now();
+            if owned.is_released.get() {
+                return (AdapterStatus::NotOwner, None);
+            }
             if is_draining(entry, &request.engine) {
                 return (AdapterStatus::Unavailable, None);
             }
@@ -337,119 +371,3 @@
     }
     Some(scheduler)
 }
-
-/// Sends commands to an engine, one at a time.
-async fn run_engine(entry: Rc<EntryState>, owned: Rc<OwnedEngine>, mut server: Arc<Server>) {
-    loop {
-        if let Some(current) = entry.server_list.borrow().get(&server.id) {
-            server = current.clone();
-        }
-        let now = entry.clock.now();
-        let Some(fence) = entry.leases.borrow().fence(&server.id, now) else {
-            tokio::time::sleep(IDLE_INTERVAL).await;
-            continue;
-        };
-        match entry.availability(&server) {
-            Availability::Available => {}
-            Availability::UnavailableUntil(until) => {
-                tokio::time::sleep(until.saturating_sub(now)).await;
-                continue;
-            }
-            Availability::Draining => {
-                // Requests that wait for a load here must move to another engine.
-                owned.engine_changed.notify_waiters();
-                tokio::time::sleep(IDLE_INTERVAL).await;
-                continue;
-            }
-        }
-        let step = owned.scheduler.borrow_mut().next_step(now);
-        match step {
-            SchedulerStep::Send(command) => {
-                let reach = send_command(&entry, &owned, &server, command, fence).await;
-                on_reach(&entry, &owned, &server, reach);
-                owned.engine_changed.notify_waiters();
-            }
-            SchedulerStep::FetchReport => {
-                let reach = fetch_report(&entry, &owned, &server).await;
-                on_reach(&entry, &owned, &server, reach);
-                owned.engine_changed.notify_waiters();
-            }
-            SchedulerStep::Wait(at) => {
-                let wait = at.map_or(IDLE_INTERVAL, |at| at.saturating_sub(now));
-                // A wake-up without a change is harmless: the next step is computed again.
-                let _ = tokio::time::timeout(
-                    wait.min(IDLE_INTERVAL),
-                    owned.requests_changed.notified(),
-                )
-                .await;
-            }
-        }
-    }
-}
-
-/// Sends a command and records its result; returns whether the engine is reached.
-async fn send_command(
-    entry: &Rc<EntryState>,
-    owned: &OwnedEngine,
-    server: &Server,
-    command: EngineCommand,
-    fence: u64,
-) -> Reach {
-    let engines = &entry.platform.engines;
-    let started_at = entry.clock.now();
-    let (result, notice) = engines.send_command(server, &command, &entry.holder, fence).await;
-    entry.on_server_notice(server, notice);
-    entry.metrics.orders.inc();
-    log::debug!("engine {}: {command:?} -> {result:?}", server.id);
-    let now = entry.clock.now();
-    owned.scheduler.borrow_mut().on_command_result(result, now);
-    if let (CommandKind::Load { adapter, .. }, CommandResult::Completed) = (&command.kind, result) {
-        let id = AdapterId { model: command.model.clone(), adapter: adapter.clone() };
-        entry.on_completed(entry.load_content(&id));
-    }
-    owned.reach.borrow_mut().on_command(result.call_outcome(), started_at, now)
-}
-
-/// Fetches an engine's report and applies it; returns whether the engine is reached.
-async fn fetch_report(entry: &Rc<EntryState>, owned: &OwnedEngine, server: &Server) -> Reach {
-    let started_at = entry.clock.now();
-    let (report, notice) = entry.platform.engines.fetch_report(server).await;
-    entry.on_server_notice(server, notice);
-    let now = entry.clock.now();
-    let mut scheduler = owned.scheduler.borrow_mut();
-    let outcome = match report {
-        Ok(report) => {
-            scheduler.on_report(report.sequence, &report.models, &report.loading, now);
-            CallOutcome::Answered
-        }
-        Err(e) => {
-            log::warn!("fetching the report of engine {} failed, will retry: {e}", server.id);
-            scheduler.on_report_failed(now);
-            match e {
-                ReportError::NoResponse(_) => CallOutcome::NoResponse,
-                ReportError::Invalid(_) => CallOutcome::Answered,
-            }
-        }
-    };
-    owned.reach.borrow_mut().on_call(outcome, started_at, now)
-}
-
-/// Logs a change of whether an engine is reached.
-fn on_reach(entry: &Rc<EntryState>, owned: &Rc<OwnedEngine>, server: &Server, reach: Reach) {
-    if owned.last_reach.replace(reach) == reach {
-        return;
-    }
-    match reach {
-        Reach::Reached => {
-            log::info!("engine {} responds to its owner, this host, again", server.id)
-        }
-        Reach::Silent => {
-            log::warn!("engine {} responds to no call of its owner, this host", server.id)
-        }
-        Reach::OutOfReach => log::warn!(
-            "engine {} is out of reach of its owner, this host, which can load no adapters there",
-            server.id
-        ),
-    }
-    entry.metrics.engines_silent.set(entry.owned_engines.silent_count());
-}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -25,7 +25,7 @@
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
 use crate::stream_versions::StreamVersions;
-use crate::{http_server, lease_renewal, peer_server, store_watch, stream_versions};
+use crate::{engine_probes, http_server, lease_renewal, peer_server, store_watch, stream_versions};
 
 /// How long a lease lasts. It is longer than most outages of the store; with a shorter one, loads
 /// of adapters would stop during an outage.
@@ -79,6 +79,7 @@
     spawn_local(store_watch::watch_feed(entry.clone(), Feed::StreamVersions));
     spawn_local(stream_versions::keep_versions(entry.clone()));
     spawn_local(store_watch::hold_leases(entry.clone()));
+    spawn_local(engine_probes::probe_engines(entry.clone()));
     spawn_local(feed_relay::follow_watchers(entry.clone()));
     spawn_local(lease_renewal::write_batches(entry.clone()));
     spawn_local(quotas::ping_issuers(entry.clone()));
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -107,7 +107,7 @@
 /// could load it is lost; another host may after `wait`.
 pub(crate) fn owner_lost(attempts: &Attempts, wait: Duration) -> Refusal {
     if attempts.has_not_run() {
-        let detail = "the entry host that loads adapters on the engine does not respond";
+        let detail = "the entry host that loads adapters on the engine does not respond or does not reach it";
         return Refusal::not_run(Code::OwnerLost, detail).with_retry_after_ms(millis(wait));
     }
     may_have_run()
--- a/crates/fleet/src/adapter_scheduler.rs
+++ b/crates/fleet/src/adapter_scheduler.rs
@@ -155,6 +155,8 @@
     /// The time until which an engine that refused the last command counts as refusing further
     /// ones.
     refused_until: Duration,
+    /// Whether the engine responds to no call.
+    is_silent: bool,
     load_time: Duration,
     /// The time at which the command in flight or without a response was first sent.
     sent_at: Option<Duration>,
@@ -186,6 +188,7 @@
             fetch_report_at: Some(Duration::ZERO),
             resume_at: Duration::ZERO,
             refused_until: Duration::ZERO,
+            is_silent: false,
             load_time: INITIAL_LOAD_TIME,
             sent_at: None,
             command_time: INITIAL_COMMAND_TIME,
@@ -355,7 +358,7 @@
                 return Readiness::OldVersionInUse;
             }
         }
-        if now < self.refused_until && !self.slots.contains_key(id) {
+        if self.is_silent || now < self.refused_until && !self.slots.contains_key(id) {
             return Readiness::Unavailable;
         }
         if self.is_queue_too_slow(id) {
@@ -413,6 +416,17 @@
         self.fetch_report_at.get_or_insert(now);
     }
 
+    /// Sets whether the engine responds to no call.
+    ///
+    /// While it does not, adapters are loaded on other engines, and the report is fetched instead of
+    /// sending further commands.
+    pub fn set_silent(&mut self, is_silent: bool, now: Duration) {
+        self.is_silent = is_silent;
+        if is_silent {
+            self.fetch_report_at.get_or_insert(now + REFUSED_BACKOFF);
+        }
+    }
+
     /// Returns the next action. Call it again after the action is carried out.
     pub fn next_step(&mut self, now: Duration) -> SchedulerStep {
         if self.in_flight.is_some() {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -24,7 +24,9 @@
 mod lost_owners;
 mod reads;
 mod release;
+mod released_engines;
 mod rows;
+mod summary;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -36,6 +38,7 @@
 
 use self::eras::InheritedEngine;
 pub use self::eras::LostEngine;
+use self::released_engines::ReleasedEngines;
 use crate::backoff::Backoff;
 use crate::prelude::*;
 use crate::revision::revision_era;
@@ -80,6 +83,8 @@
     is_released: bool,
     /// The fencing numbers of the engines that this process claimed.
     fences: BTreeMap<Arc<str>, u64>,
+    /// Engines that this host or others released.
+    released: ReleasedEngines,
     /// The latest known era of the store.
     era: Option<u64>,
     /// Whether the store came back from an older copy while this process ran.
@@ -168,6 +173,7 @@
             own_lease: None,
             is_released: false,
             fences: BTreeMap::new(),
+            released: ReleasedEngines::default(),
             era: None,
             has_era_risen: false,
             is_first_start: true,
@@ -205,6 +211,7 @@
     /// Sets the existing engines, and whether each is in the host's zone.
     pub fn set_engines(&mut self, engines: BTreeMap<Arc<str>, bool>) {
         self.fences.retain(|engine, _| engines.contains_key(engine));
+        self.released.retain(&engines);
         self.inherited.retain(|engine, _| engines.contains_key(engine));
         self.free_since.retain(|engine, _| engines.contains_key(engine));
         self.ranks.retain(|engine, _| engines.contains_key(engine));
@@ -251,7 +258,10 @@
         for row in write.claims {
             self.free_since.remove(&row.engine);
             self.inherited.remove(&row.engine);
-            self.fences.insert(row.engine.clone(), revision);
+            self.released.on_claim_written(&row);
+            if row.released_ms.is_none() {
+                self.fences.insert(row.engine.clone(), revision);
+            }
             self.claims.insert(row.engine.clone(), Claim { revision, era, ..row });
         }
     }
@@ -301,36 +311,6 @@
         self.revision
     }
 
-    /// Returns a summary of the valid leases for hosts that do not read the table themselves.
-    pub fn lease_summary(&self, now: Duration) -> LeaseSummary {
-        let earliest_ms = self.earliest_ms(now);
-        let valid_from_ms = earliest_ms + self.times.renewal_interval.as_millis() as u64 / 2;
-        let until_ms =
-            self.hosts.values().map(|host| host.until_ms).filter(|ms| *ms >= valid_from_ms);
-        let is_near_expiry =
-            |host: &&HostLease| (earliest_ms..valid_from_ms).contains(&host.until_ms);
-        let except = self.hosts.values().filter(is_near_expiry);
-        LeaseSummary {
-            until_ms: until_ms.min().unwrap_or(0),
-            except: except.map(|host| host.holder.clone()).collect(),
-            holder_count: self.live_hosts(now).count(),
-        }
-    }
-
-    /// Applies a summary of the valid leases from a host that reads the table.
-    ///
-    /// A lease that has expired according to this host's table stays expired, because another
-    /// host may have claimed its engines since.
-    pub fn on_lease_summary(&mut self, summary: &LeaseSummary, now: Duration) {
-        let earliest_ms = self.earliest_ms(now);
-        for host in self.hosts.values_mut() {
-            let is_valid = host.until_ms >= earliest_ms && !summary.except.contains(&host.holder);
-            if is_valid && host.holder != self.host {
-                host.until_ms = host.until_ms.max(summary.until_ms);
-            }
-        }
-    }
-
     /// Records that the known owner of an engine replied that it does not own the engine; the
     /// table is read again.
     pub fn on_not_owner(&mut self, holder: &str) {
@@ -346,9 +326,10 @@
         (now < self.commands_until(now)?).then_some(*token)
     }
 
-    /// Returns the entry host that owns an engine as last read, and its address.
+    /// Returns the entry host that owns an engine as last read, and its address; `None` if the engine
+    /// was released.
     pub fn owner_of(&self, engine: &str) -> Option<(&Arc<str>, SocketAddr)> {
-        let claim = self.claims.get(engine)?;
+        let claim = self.claims.get(engine).filter(|claim| claim.released_ms.is_none())?;
         let host = self.hosts.get(&claim.holder)?;
         Some((&claim.holder, host.address))
     }
@@ -419,9 +400,13 @@
         if !inherited.is_empty() {
             return LeaseAction::Write(self.build_write(inherited, now));
         }
+        let releases = self.unwritten_releases(now);
+        if !releases.is_empty() {
+            return LeaseAction::Write(self.build_release(releases, now));
+        }
         let claims = self.claim_times(own_lease, now);
         let next = claims.iter().map(|(_, at)| *at).min();
-        let read_at = self.unsettled_read_at(now).filter(|_| next.is_none_or(|at| at > now));
+        let read_at = self.unowned_read_at(now).filter(|_| next.is_none_or(|at| at > now));
         if read_at.is_some_and(|at| at <= now) {
             return LeaseAction::Read(self.revision);
         }
@@ -457,8 +442,10 @@
         // The owner that the copy names for an inherited engine lost it in the earlier era, but
         // may own others.
         let claimed = engines.iter().filter(|engine| !self.inherited.contains_key(*engine));
-        let holders: BTreeSet<&Arc<str>> =
-            claimed.filter_map(|engine| Some(&self.claims.get(engine)?.holder)).collect();
+        // The owner that released an engine keeps its lease, and others of its engines.
+        let claims = claimed.filter_map(|engine| self.claims.get(engine));
+        let unreleased = claims.filter(|claim| claim.released_ms.is_none());
+        let holders: BTreeSet<&Arc<str>> = unreleased.map(|claim| &claim.holder).collect();
         let other_holders = holders.into_iter().filter(|holder| **holder != self.host);
         let expired = other_holders.filter_map(|holder| self.hosts.get(holder)).cloned();
         let (mut revoked, already_revoked): (Vec<HostLease>, Vec<HostLease>) =
@@ -466,7 +453,8 @@
         revoked.iter_mut().for_each(|lease| lease.until_ms = 0);
         let claim = |engine: Arc<str>| {
             let revision = self.claims.get(&engine).map_or(0, |row| row.revision);
-            Claim { engine, holder: self.host.clone(), revision, era: self.era() }
+            let (holder, era) = (self.host.clone(), self.era());
+            Claim { engine, holder, revision, era, released_ms: None }
         };
         let claims = engines.into_iter().map(claim).collect();
         let (era, era_condition) = (self.era(), self.era_condition(now));
@@ -490,6 +478,10 @@
         Some(clock.store_time_ms + now.saturating_sub(clock.sent_at).as_millis() as u64 + 1)
     }
 
+    fn takeover_delay_ms(&self) -> u64 {
+        self.times.takeover_delay.as_millis() as u64
+    }
+
     /// Returns the earliest time that the store's clock can show, in milliseconds.
     fn earliest_ms(&self, now: Duration) -> u64 {
         self.clock.map_or(0, |clock| {
--- a/crates/fleet/src/lease/claims.rs
+++ b/crates/fleet/src/lease/claims.rs
@@ -17,6 +17,9 @@
 const CLAIM_DELAY_PER_SHARE: Duration = Duration::from_millis(600);
 /// Lets hosts in the engine's zone claim first.
 const CLAIM_DELAY_OTHER_ZONE: Duration = Duration::from_millis(3_000);
+/// Lets hosts in the zone of a released engine claim first, if they reach it: more than the delay
+/// of the last rank.
+const CLAIM_DELAY_RELEASED_OTHER_ZONE: Duration = Duration::from_millis(750);
 /// Spreads the first claims of all hosts. The store executes about 300 transactions per second
 /// on a table; a burst that takes it longer than a second delays all of them.
 const CLAIM_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
@@ -33,6 +36,7 @@
                 && !self.inherited.contains_key(&claim.engine)
                 && self.engines.contains_key(&claim.engine)
                 && !self.fences.contains_key(&claim.engine)
+                && !self.lacks_reach(&claim.engine, now)
         });
         own_claims.take(CLAIMS_PER_WRITE_MAX).map(|claim| claim.engine.clone()).collect()
     }
@@ -46,7 +50,7 @@
         let free: Vec<(Arc<str>, bool)> = self
             .engines
             .iter()
-            .filter(|(engine, _)| self.is_free(engine, now))
+            .filter(|(engine, _)| self.is_free_within(engine, 0, now))
             .map(|(engine, is_same_zone)| (engine.clone(), *is_same_zone))
             .collect();
         self.free_since
@@ -57,6 +61,10 @@
             own_lease.first_claim_at + claim_spread.mul_f64(self.jitter_fraction());
         let mut times = Vec::with_capacity(free.len());
         for (engine, is_same_zone) in free {
+            if self.lacks_reach(&engine, now) {
+                self.free_since.entry(engine).or_insert(now);
+                continue;
+            }
             let is_own = self.claims.get(&engine).is_some_and(|claim| claim.holder == self.host);
             if is_own {
                 times.push((engine, now));
@@ -64,7 +72,11 @@
             }
             let free_since = *self.free_since.entry(engine.clone()).or_insert(now);
             let rank_delay = CLAIM_DELAY_PER_RANK * self.rank(&engine, now);
-            let zone_delay = if is_same_zone { Duration::ZERO } else { CLAIM_DELAY_OTHER_ZONE };
+            let zone_delay = match (is_same_zone, self.released_until_ms(&engine)) {
+                (true, _) => Duration::ZERO,
+                (false, Some(_)) => CLAIM_DELAY_RELEASED_OTHER_ZONE,
+                (false, None) => CLAIM_DELAY_OTHER_ZONE,
+            };
             times.push((
                 engine,
                 free_since.max(first_claim_at) + rank_delay + share_delay + zone_delay,
@@ -73,9 +85,9 @@
         times
     }
 
-    /// Returns whether an engine may be claimed: no other host may still send it commands,
-    /// and this process has not claimed it.
-    fn is_free(&self, engine: &Arc<str>, now: Duration) -> bool {
+    /// Returns whether an engine may be claimed within `lead_ms`: no other host may then still send
+    /// it commands, and this process has not claimed it.
+    pub(super) fn is_free_within(&self, engine: &Arc<str>, lead_ms: u64, now: Duration) -> bool {
         if self.fences.contains_key(engine) || self.inherited.contains_key(engine) {
             return false;
         }
@@ -89,6 +101,10 @@
         if claim.holder == self.host {
             return true;
         }
+        let earliest_ms = self.earliest_ms(now).saturating_add(lead_ms);
+        if let Some(released_ms) = claim.released_ms {
+            return earliest_ms >= released_ms.saturating_add(self.takeover_delay_ms());
+        }
         if self.responded_at.get(&claim.holder).is_some_and(|at| now < *at + RESPONSE_VALIDITY) {
             return false;
         }
@@ -96,8 +112,7 @@
         let Some(HostLease { until_ms, .. }) = self.hosts.get(&claim.holder) else {
             return false;
         };
-        let takeover_delay_ms = self.times.takeover_delay.as_millis() as u64;
-        *until_ms == 0 || self.earliest_ms(now) >= until_ms.saturating_add(takeover_delay_ms)
+        *until_ms == 0 || earliest_ms >= until_ms.saturating_add(self.takeover_delay_ms())
     }
 
     /// Returns the hosts of this zone with valid leases.
--- a/crates/fleet/src/lease/eras.rs
+++ b/crates/fleet/src/lease/eras.rs
@@ -173,7 +173,7 @@
 
     /// Returns when to look at the table again while engines without an owner in this era wait;
     /// `None` if none does.
-    pub(super) fn unsettled_read_at(&self, now: Duration) -> Option<Duration> {
+    fn unsettled_read_at(&self, now: Duration) -> Option<Duration> {
         let is_unclaimed =
             |engine: &Arc<str>| self.claims.get(engine).is_none_or(|row| row.era < self.era());
         let is_waiting = !self.is_settled(now) && self.engines.keys().any(is_unclaimed);
@@ -184,6 +184,13 @@
         is_waiting.then_some(self.read_at + interval)
     }
 
+    /// Returns when to look at the table again while an engine waits for a new owner; `None` if none
+    /// does.
+    pub(super) fn unowned_read_at(&self, now: Duration) -> Option<Duration> {
+        let times = [self.unsettled_read_at(now), self.released_read_at(now)];
+        times.into_iter().flatten().min()
+    }
+
     /// Returns whether a revision is of the current era.
     pub(super) fn is_current(&self, revision: u64) -> bool {
         revision_era(revision) == self.era()
--- a/crates/fleet/src/lease/lost_owners.rs
+++ b/crates/fleet/src/lease/lost_owners.rs
@@ -33,9 +33,12 @@
         is_due
     }
 
-    /// Returns after which time an adapter may be loaded on an engine whose owner does not respond;
-    /// `None` if the owner is not known to be silent.
+    /// Returns after which time an adapter may be loaded on an engine that was released or whose owner
+    /// does not respond; `None` if neither is known.
     pub fn load_wait(&self, engine: &str, now: Duration) -> Option<Duration> {
+        if let Some(wait) = self.release_wait(engine, now) {
+            return Some(wait + CLAIM_TIME);
+        }
         let claim = self.claims.get(engine)?;
         let since = self.silent_since.get(&claim.holder)?;
         if now < *since + RESTART_TIME {
--- a/crates/fleet/src/lease/reads.rs
+++ b/crates/fleet/src/lease/reads.rs
@@ -36,8 +36,11 @@
         }
         for (engine, revision) in table.unreadable_claims {
             // The holder may not know yet that its row was overwritten.
-            let unknown = Claim { engine: engine.clone(), holder: "".into(), revision, era: 0 };
-            self.claims.entry(engine).or_insert(unknown).revision = revision;
+            let (holder, released_ms) = ("".into(), None);
+            let unknown = Claim { engine: engine.clone(), holder, revision, era: 0, released_ms };
+            let claim = self.claims.entry(engine).or_insert(unknown);
+            // The overwritten row may have been a later claim.
+            (claim.revision, claim.released_ms) = (revision, None);
         }
         self.ranks.clear();
         self.responded_at.retain(|_, at| now < *at + RESPONSE_VALIDITY);
--- a/crates/fleet/src/lease/rows.rs
+++ b/crates/fleet/src/lease/rows.rs
@@ -53,6 +53,9 @@
     pub revision: u64,
     /// The era of the store in which the row was written.
     pub era: u64,
+    /// If the owner released the engine: until when its last command may arrive, in milliseconds of
+    /// the store's clock.
+    pub released_ms: Option<u64>,
 }
 
 /// The row that marks the start of an era of the store.
--- a/crates/fleet/tests/common/lease_simulation.rs
+++ b/crates/fleet/tests/common/lease_simulation.rs
@@ -147,6 +147,8 @@
     pub awaits_expiry: bool,
     /// What a host that stops makes of its lease.
     pub release: Release,
+    /// How hosts release the engine while they keep their leases.
+    pub engine_release: EngineRelease,
 }
 
 /// What a host that stops makes of its lease.
@@ -160,6 +162,17 @@
     AsRevoked,
 }
 
+/// How hosts release the engine while they keep their leases.
+#[derive(Clone, Copy, PartialEq)]
+pub enum EngineRelease {
+    /// Not at all.
+    Never,
+    /// Up to two seconds after their last command.
+    AfterLastCommand,
+    /// As if their last command had been sent long ago.
+    AsLongAgo,
+}
+
 pub const RULES: Rules = Rules {
     times: TIMES,
     revokes: true,
@@ -170,10 +183,13 @@
     has_era_conditions: true,
     awaits_expiry: true,
     release: Release::Never,
+    engine_release: EngineRelease::Never,
 };
 /// How often the simulation copies the table, and how many copies it keeps.
 const COPY_INTERVAL_TICKS: u32 = 20;
 const COPIES_MAX: usize = 10;
+/// How long a host sends no commands before it releases the engine, at most.
+const SILENCE_MAX_MS: u64 = 2_000;
 /// How long the table is unavailable before it comes back, at most.
 const OUTAGE_MAX_MS: u64 = 3_000;
 
@@ -198,6 +214,9 @@
     let mut managers: Vec<LeaseManager> = (0..HOSTS).map(new_manager).collect();
     let mut partitioned_until = [Duration::ZERO; HOSTS];
     let mut paused_until = [Duration::ZERO; HOSTS];
+    // When a host that sends no more commands releases the engine.
+    let mut releases_at: [Option<Duration>; HOSTS] = [None; HOSTS];
+    let mut last_command_at = [Duration::ZERO; HOSTS];
     let mut delayed: Vec<DelayedWrite> = Vec::new();
     let mut commands = Vec::new();
     // The renewals that the delegate has not yet written. It may stall, write late or lose the
@@ -281,6 +300,7 @@
                 }
                 managers[host] = new_manager(host);
                 reply_deadline[host] = Duration::ZERO;
+                releases_at[host] = None;
             }
             if paused_until[host] > now {
                 continue;
@@ -290,8 +310,28 @@
                 managers[host].on_write_failed(now);
             }
             let manager = &mut managers[host];
-            if let Some(fence) = manager.fence(ENGINE, now) {
+            if rules.engine_release != EngineRelease::Never {
+                match releases_at[host] {
+                    Some(at) if at <= now => {
+                        manager.release_engine(&ENGINE.into(), last_command_at[host], now);
+                        releases_at[host] = None;
+                    }
+                    None if rng.random_ratio(1, 100) => {
+                        let silence_ms = rng.random_range(0..SILENCE_MAX_MS);
+                        releases_at[host] = Some(now + Duration::from_millis(silence_ms));
+                    }
+                    Some(_) | None => {}
+                }
+                for engine in manager.engines_to_probe(now) {
+                    if rng.random_ratio(1, 3) {
+                        manager.on_engine_reached(&engine, now);
+                    }
+                }
+            }
+            if let Some(fence) = manager.fence(ENGINE, now).filter(|_| releases_at[host].is_none())
+            {
                 commands.push((now, host, fence));
+                last_command_at[host] = now;
             }
             if reply_deadline[host] > now {
                 continue;
@@ -303,7 +343,14 @@
             }
             // A response may be up to 300 ms old when the host processes it.
             let sent_at = now.saturating_sub(Duration::from_millis(rng.random_range(0..300)));
-            match manager.next_action(now) {
+            let mut action = manager.next_action(now);
+            if let LeaseAction::Write(write) = &mut action
+                && rules.engine_release == EngineRelease::AsLongAgo
+            {
+                let released = write.claims.iter_mut().filter(|claim| claim.released_ms.is_some());
+                released.for_each(|claim| claim.released_ms = Some(0));
+            }
+            match action {
                 LeaseAction::Read(_) if is_partitioned => manager.on_read_failed(now, rng.random()),
                 LeaseAction::Read(Some(_)) if rng.random_ratio(1, 40) => manager.on_history_lost(),
                 LeaseAction::Read(Some(after)) if revision_era(after) != table.era => {
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -13,7 +13,7 @@
     Claim, EraCondition, HostLease, LeaseAction, LeaseManager, LeaseTable, LeaseTimes, LeaseWrite,
 };
 use lease_simulation::{
-    RULES, Release, Rules, STORE_OFFSET_MS, TIMES, Table, find_violation, simulate,
+    EngineRelease, RULES, Release, Rules, STORE_OFFSET_MS, TIMES, Table, find_violation, simulate,
 };
 use test_case::test_case;
 
@@ -50,6 +50,28 @@
     }
 }
 
+const RESTORE_RULES: Rules = Rules { restores_one_in: 400, ..RULES };
+
+/// Hosts release the engine and keep their leases; the write may be late, or lost with its response.
+#[test_case(RULES; "hosts that renew themselves")]
+#[test_case(DELEGATE_RULES; "with a delegate")]
+#[test_case(RESTORE_RULES; "a store that comes back from older copies")]
+#[test_case(Rules { release: Release::AtStops, ..RULES }; "hosts that stop")]
+fn at_most_one_owner_in_ten_thousand_interleavings_with_released_engines(rules: Rules) {
+    for seed in 0..10_000 {
+        let rules = Rules { engine_release: EngineRelease::AfterLastCommand, ..rules };
+        if let Some(error) = find_violation(&simulate(seed, rules)) {
+            panic!("seed {seed}: {error}");
+        }
+    }
+}
+
+#[test]
+fn a_release_of_an_engine_without_its_last_command_breaks_exclusive_ownership() {
+    let rules = Rules { engine_release: EngineRelease::AsLongAgo, ..RULES };
+    assert!((0..2_000).any(|seed| find_violation(&simulate(seed, rules)).is_some()));
+}
+
 #[test]
 fn a_release_without_the_takeover_delay_breaks_exclusive_ownership() {
     let rules = Rules { release: Release::AsRevoked, ..RULES };
@@ -124,7 +146,13 @@
 #[test_case(10_300, Some(500); "others claim its engine")]
 fn a_silent_owner_delays_loads_until_its_engines_may_be_claimed(ms: u64, wait_ms: Option<u64>) {
     let mut manager = manager_of(1, 1);
-    let claim = Claim { engine: "i-0".into(), holder: "host-0".into(), revision: 7, era: 0 };
+    let claim = Claim {
+        engine: "i-0".into(),
+        holder: "host-0".into(),
+        revision: 7,
+        era: 0,
+        released_ms: None,
+    };
     let hosts = vec![host(0, STORE_OFFSET_MS + 7_000, 6)];
     let (claims, store_time_ms) = (vec![claim], STORE_OFFSET_MS);
     let table = LeaseTable { hosts, claims, revision: 9, store_time_ms, ..LeaseTable::default() };
@@ -142,7 +170,13 @@
 
 #[test]
 fn a_restarted_process_reclaims_its_engines_at_once() {
-    let claim = Claim { engine: "i-0".into(), holder: "host-0".into(), revision: 7, era: 0 };
+    let claim = Claim {
+        engine: "i-0".into(),
+        holder: "host-0".into(),
+        revision: 7,
+        era: 0,
+        released_ms: None,
+    };
     let hosts = vec![host(0, STORE_OFFSET_MS + 60_000, 9)];
     let store_time_ms = STORE_OFFSET_MS;
     let table = LeaseTable {
@@ -167,7 +201,13 @@
 /// the lease of a previous owner.
 #[test]
 fn a_claim_revokes_the_lease_of_the_previous_owner() {
-    let claim = Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7, era: 0 };
+    let claim = Claim {
+        engine: "i-0".into(),
+        holder: "host-1".into(),
+        revision: 7,
+        era: 0,
+        released_ms: None,
+    };
     let expired = host(1, STORE_OFFSET_MS, 8);
     let store_time_ms = STORE_OFFSET_MS + 20_000;
     let mut table = Table { revision: 8, ..Table::default() };
@@ -326,7 +366,13 @@
 
 #[test]
 fn an_engine_of_an_owner_with_an_unknown_lease_is_not_claimed() {
-    let claims = vec![Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7, era: 0 }];
+    let claims = vec![Claim {
+        engine: "i-0".into(),
+        holder: "host-1".into(),
+        revision: 7,
+        era: 0,
+        released_ms: None,
+    }];
     let table = LeaseTable {
         claims,
         revision: 8,
@@ -356,7 +402,13 @@
 #[test]
 fn a_lease_summary_extends_only_leases_that_are_still_valid() {
     let lease_ms = TIMES.lease_ttl.as_millis() as u64;
-    let claim = Claim { engine: "i-0".into(), holder: "host-1".into(), revision: 7, era: 0 };
+    let claim = Claim {
+        engine: "i-0".into(),
+        holder: "host-1".into(),
+        revision: 7,
+        era: 0,
+        released_ms: None,
+    };
     let table = |at_ms: u64, dead_ms: u64| LeaseTable {
         hosts: vec![
             host(0, STORE_OFFSET_MS + at_ms + lease_ms, 9),
--- a/crates/fleet/tests/unreadable_leases.rs
+++ b/crates/fleet/tests/unreadable_leases.rs
@@ -38,7 +38,7 @@
 }
 
 fn claim(holder: &str, revision: u64) -> Claim {
-    Claim { engine: "i-1".into(), holder: holder.into(), revision, era: 0 }
+    Claim { engine: "i-1".into(), holder: holder.into(), revision, era: 0, released_ms: None }
 }
 
 /// Runs a manager from `tables`, each the result of the first read from its time on; the store's
