--- a/crates/entry/src/engine_probes.rs
+++ b/crates/entry/src/engine_probes.rs
@@ -24,7 +24,7 @@
     entry.on_server_notice(&server, notice);
     match report {
         Ok(_) => {
-            log::info!("engine {engine} without an owner is within reach of this host");
+            log::debug!("engine {engine} without an owner is within reach of this host");
             entry.leases.borrow_mut().on_engine_reached(&engine, entry.clock.now());
             entry.leases_changed.notify_waiters();
         }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -472,10 +472,13 @@
         self.clock.is_some().then(|| self.earliest_ms(now))
     }
 
-    /// Returns the latest time that the store's clock can show, in milliseconds.
-    fn latest_ms(&self, now: Duration) -> Option<u64> {
-        let clock = self.clock?;
-        Some(clock.store_time_ms + now.saturating_sub(clock.sent_at).as_millis() as u64 + 1)
+    /// Returns the latest time that the store's clock can show at `at`, which may lie before the
+    /// store's last response, in milliseconds.
+    fn latest_ms(&self, at: Duration) -> Option<u64> {
+        let StoreClock { store_time_ms, sent_at, .. } = self.clock?;
+        let before_ms = sent_at.saturating_sub(at).as_millis() as u64;
+        let after_ms = at.saturating_sub(sent_at).as_millis() as u64;
+        Some(store_time_ms.saturating_sub(before_ms) + after_ms + 1)
     }
 
     fn takeover_delay_ms(&self) -> u64 {
--- a/crates/fleet/src/lease/claims.rs
+++ b/crates/fleet/src/lease/claims.rs
@@ -17,9 +17,11 @@
 const CLAIM_DELAY_PER_SHARE: Duration = Duration::from_millis(600);
 /// Lets hosts in the engine's zone claim first.
 const CLAIM_DELAY_OTHER_ZONE: Duration = Duration::from_millis(3_000);
-/// Lets hosts in the zone of a released engine claim first, if they reach it: more than the delay
-/// of the last rank.
-const CLAIM_DELAY_RELEASED_OTHER_ZONE: Duration = Duration::from_millis(750);
+/// The same delays for released engines. They are short, because only hosts that have just reached
+/// the engine claim it, and often several engines are released at once. Most hosts of the engine's zone
+/// rank before its end.
+const CLAIM_DELAY_RELEASED_OTHER_ZONE: Duration = Duration::from_millis(300);
+const CLAIM_DELAY_RELEASED_PER_SHARE: Duration = Duration::from_millis(150);
 /// Spreads the first claims of all hosts. The store executes about 300 transactions per second
 /// on a table; a burst that takes it longer than a second delays all of them.
 const CLAIM_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
@@ -55,7 +57,7 @@
             .collect();
         self.free_since
             .retain(|engine, _| free.binary_search_by(|(other, _)| other.cmp(engine)).is_ok());
-        let share_delay = CLAIM_DELAY_PER_SHARE * (self.fences.len() / self.fair_share(now)) as u32;
+        let shares = (self.fences.len() / self.fair_share(now)) as u32;
         let claim_spread = CLAIM_SPREAD_PER_HOST * self.live_hosts(now).count() as u32;
         let first_claim_at =
             own_lease.first_claim_at + claim_spread.mul_f64(self.jitter_fraction());
@@ -72,11 +74,12 @@
             }
             let free_since = *self.free_since.entry(engine.clone()).or_insert(now);
             let rank_delay = CLAIM_DELAY_PER_RANK * self.rank(&engine, now);
-            let zone_delay = match (is_same_zone, self.released_until_ms(&engine)) {
-                (true, _) => Duration::ZERO,
-                (false, Some(_)) => CLAIM_DELAY_RELEASED_OTHER_ZONE,
-                (false, None) => CLAIM_DELAY_OTHER_ZONE,
+            let (per_share, other_zone) = match self.released_until_ms(&engine) {
+                Some(_) => (CLAIM_DELAY_RELEASED_PER_SHARE, CLAIM_DELAY_RELEASED_OTHER_ZONE),
+                None => (CLAIM_DELAY_PER_SHARE, CLAIM_DELAY_OTHER_ZONE),
             };
+            let share_delay = per_share * shares;
+            let zone_delay = if is_same_zone { Duration::ZERO } else { other_zone };
             times.push((
                 engine,
                 free_since.max(first_claim_at) + rank_delay + share_delay + zone_delay,
--- a/crates/fleet/src/lease/released_engines.rs
+++ b/crates/fleet/src/lease/released_engines.rs
@@ -88,8 +88,9 @@
                 Some(claim) if claim.holder == self.host => OWNER_PROBE_INTERVAL,
                 Some(_) | None => PROBE_INTERVAL,
             };
-            let probed_at = self.released.probed_at.get(*engine);
-            probed_at.is_none_or(|at| now >= *at + interval)
+            let is_over = |at: Option<&Duration>, time| at.is_none_or(|at| now >= *at + time);
+            is_over(self.released.probed_at.get(*engine), interval)
+                && is_over(self.released.reached_at.get(*engine), REACHED_TTL - PROBE_INTERVAL)
                 && self.needs_reach(engine, now)
                 && self.is_free_within(engine, PROBE_LEAD_MS, now)
         });
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -87,7 +87,8 @@
     StreamVersionGone = 1312, 503, "no backend server has the version that began the stream";
     /// Nobody can tell which software version began the stream.
     StreamVersionUnknown = 1313, 503, "the version that began the stream is not known";
-    /// The entry host that loads adapters on the engine does not respond, and no other one may yet.
+    /// The entry host that loads adapters on the engine does not respond or does not reach it, and no
+    /// other one may yet.
     OwnerLost = 1314, 503, "no entry host may load the adapter on its engine yet";
     /// The organisation sent more than its quota.
     OverQuota = 1315, 429, "the organisation is beyond its quota";
