--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod connection_pool;
 mod crash_gossip;
 mod crash_probe;
+mod engine_probes;
 mod feed_relay;
 mod forward;
 mod headers;
@@ -52,8 +53,8 @@
 pub use connection_pool::{ConnectionPool, ResponseBody, SendError, ServerResponse};
 pub use platform::{
     EngineClient, EngineReport, Feed, FeedBatch, FeedRow, ForwardInfo, Platform, PlatformClients,
-    Protocol, RequestInfo, ResponseInfo, RunStatement, Sender, Store, StoreError, StreamVersionRow,
-    WriteOutcome,
+    Protocol, ReportError, RequestInfo, ResponseInfo, RunStatement, Sender, Store, StoreError,
+    StreamVersionRow, WriteOutcome,
 };
 pub use process::run;
 pub use settings::{EntrySettings, STORE_READ_TIMEOUT_MS, SettingsError};
