--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | decide whether a request leaves its zone | [`leaving_share`], [`ZoneChoice`] |
 //! | respect drain and busy notices of servers | [`ServerNotices`], [`Availability`] |
 //! | track the rate limits that servers name | [`RateLimits`], [`RateLimit`] |
+//! | notice that no server of a service can be reached | [`Reachability`], [`PathChange`] |
 //! | divide a server's rate limit among hosts | [`PermitIssuer`], [`permit_coordinators`] |
 //! | grant requests within organisations' quotas | [`QuotaLedger`], [`QuotaHosts`] |
 //! | schedule the load and unload commands to an engine | [`AdapterScheduler`], [`SchedulerStep`] |
@@ -60,6 +61,7 @@
 mod quarantine;
 mod quotas;
 mod rate_limit;
+mod reachability;
 mod renewal_batch;
 mod response_end;
 mod retry_shares;
@@ -106,6 +108,7 @@
 pub use quarantine::{Admission, ContentReport, ContentSummary, Quarantine, tracking_hosts};
 pub use quotas::{QUOTA_PING_INTERVAL, QuotaDecision, QuotaHosts, QuotaLedger, QuotaUse};
 pub use rate_limit::{LimitChange, LimitReport, NamedLimit, RateLimit, RateLimits};
+pub use reachability::{PathChange, Reachability};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
 pub use response_end::{Departures, ResponseEnd, ServerStanding};
 pub use retry_shares::RetryShares;
