--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -15,9 +15,7 @@
 
 use crate::access::AdapterHold;
 use crate::caller_io::ResetOnEnd;
-use crate::connection_pool::{
-    Framing, ResponseBody, ServerResponse, accepts_connections, is_timeout,
-};
+use crate::connection_pool::{Framing, ResponseBody, ServerResponse, is_timeout};
 use crate::prelude::*;
 use crate::record::Record;
 use crate::resume::{ResumeFuture, Resumed, Resumer};
@@ -265,10 +263,10 @@
         let has_others_in_flight = entry.placement.borrow().in_flight(*key) > 1;
         let end = ResponseEnd { standing, has_others_in_flight };
         let drain_time = Duration::from_millis(entry.cfg.borrow().drain_ms);
-        let address = server.address;
-        Some(Box::pin(
-            async move { end.is_complete(accepts_connections(address).await, drain_time) },
-        ))
+        let (entry, server) = (entry.clone(), server.clone());
+        Some(Box::pin(async move {
+            end.is_complete(entry.server_accepts_connections(&server).await, drain_time)
+        }))
     }
 
     fn on_confirmed_end(&mut self) -> PollStep {
--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -15,11 +15,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::prelude::*;
 use crate::read_budget::{BudgetedIo, ReadBudget};
+use crate::tunnel::Tunnel;
 
 /// How long a connection may take to open; a machine that is powered off never responds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -76,6 +78,8 @@
     sender: SendRequest<Full<Bytes>>,
     read_budget: ReadBudget,
     _connection_task: AbortOnDrop,
+    /// The peer through which the connection leads; `None` if it is direct.
+    tunnel: Option<Tunnel>,
     idle_until: Duration,
     /// The requests that the server refused on the connection and named. It may send each refusal
     /// once more.
@@ -123,10 +127,15 @@
 impl Connection {
     async fn open(address: SocketAddr) -> Result<Self, SendError> {
         let stream = connect(address).await.map_err(|e| SendError::NotSent(e.to_string()))?;
-        Connection::handshake(stream, address).await
+        Connection::handshake(stream, address, None).await
     }
 
-    async fn handshake(stream: TcpStream, address: SocketAddr) -> Result<Self, SendError> {
+    /// Starts HTTP on an open stream; `tunnel` tells through which peer it leads.
+    pub(crate) async fn handshake(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        address: SocketAddr,
+        tunnel: Option<Tunnel>,
+    ) -> Result<Self, SendError> {
         let read_budget = ReadBudget::default();
         let io = TokioIo::new(BudgetedIo::new(stream, read_budget.clone()));
         let handshake = http1::Builder::new().handshake(io);
@@ -141,11 +150,23 @@
             sender,
             read_budget,
             _connection_task: AbortOnDrop(driver),
+            tunnel,
             idle_until: Duration::ZERO,
             refused: Vec::new(),
         })
     }
 
+    /// Returns the peer through which the connection leads.
+    pub(crate) fn peer(&self) -> Option<&Arc<str>> {
+        self.tunnel.as_ref().map(|tunnel| &tunnel.peer)
+    }
+
+    /// Returns whether another request may be sent on the connection.
+    fn is_reusable(&self, now: Duration) -> bool {
+        let is_ending = self.tunnel.as_ref().is_some_and(|tunnel| tunnel.is_ending.get());
+        self.idle_until > now && !is_ending && !self.sender.is_closed()
+    }
+
     async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
         self.read_budget.reset();
         match self.sender.try_send_request(req).await {
@@ -179,16 +200,29 @@
     req: Request<Full<Bytes>>,
 ) -> std::io::Result<Result<http::response::Parts, SendError>> {
     let stream = connect(address).await?;
-    let mut connection = match Connection::handshake(stream, address).await {
+    let mut connection = match Connection::handshake(stream, address, None).await {
         Ok(connection) => connection,
         Err(e) => return Ok(Err(e)),
     };
     Ok(connection.send(req).await.map(|res| res.into_parts().0))
 }
 
-/// Address and id of a server. The id is needed because two servers may use the same address one
-/// after the other.
-type ServerKey = (SocketAddr, Arc<str>);
+/// A server and the path to it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct ServerKey {
+    pub(crate) address: SocketAddr,
+    /// The server's id; two servers may use the same address one after the other.
+    pub(crate) id: Arc<str>,
+    pub(crate) path: ServerPath,
+}
+
+/// How a connection reaches its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ServerPath {
+    Direct,
+    /// Through a peer.
+    Tunnel,
+}
 
 /// Pool of idle connections by server.
 #[derive(Default)]
@@ -246,20 +280,34 @@
         req: Request<Full<Bytes>>,
         clock: Clock,
     ) -> Result<ServerResponse, SendError> {
-        let idle = self.take_idle((address, server_id.clone()), request_id, clock.now());
-        let mut connection = match idle {
+        let (id, path) = (server_id.clone(), ServerPath::Direct);
+        let key = ServerKey { address, id, path };
+        let connection = match self.take_idle(&key, request_id, clock.now()) {
             Some(connection) => connection,
             None => Connection::open(address).await?,
         };
+        self.send_on(connection, key, req, clock).await
+    }
+
+    /// Sends a request on a connection to the server and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// As [`ConnectionPool::send`].
+    pub(crate) async fn send_on(
+        self: &Rc<Self>,
+        mut connection: Connection,
+        key: ServerKey,
+        req: Request<Full<Bytes>>,
+        clock: Clock,
+    ) -> Result<ServerResponse, SendError> {
         let res = connection.send(req).await?;
         let (head, body) = res.into_parts();
         let is_reusable = can_reuse(&head);
         let framing = Framing::of(&head);
-        let pool_slot = is_reusable.then(|| PoolSlot {
-            pool: self.clone(),
-            key: (address, server_id.clone()),
-            clock,
-            idle_timeout: idle_timeout(&head.headers),
+        let pool_slot = is_reusable.then(|| {
+            let idle_timeout = idle_timeout(&head.headers);
+            Box::new(PoolSlot { pool: self.clone(), key, clock, idle_timeout })
         });
         Ok(ServerResponse {
             head,
@@ -294,24 +342,34 @@
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server_id: &str) {
-        self.idle.borrow_mut().retain(|(_, id), _| &**id != server_id);
+        self.idle.borrow_mut().retain(|key, _| *key.id != *server_id);
+    }
+
+    /// Closes the idle connections to a server that use this path.
+    pub(crate) fn close_idle_path(&self, server_id: &str, path: ServerPath) {
+        self.idle.borrow_mut().retain(|key, _| *key.id != *server_id || key.path != path);
     }
 
     /// Closes idle connections whose timeout has passed.
     pub fn sweep(&self, now: Duration) {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
-            connections
-                .retain(|connection| connection.idle_until > now && !connection.sender.is_closed());
+            connections.retain(|connection| connection.is_reusable(now));
             !connections.is_empty()
         });
     }
 
-    fn take_idle(&self, key: ServerKey, request_id: &str, now: Duration) -> Option<Connection> {
+    /// Takes an idle connection on which the server refused no request with this id.
+    pub(crate) fn take_idle(
+        &self,
+        key: &ServerKey,
+        request_id: &str,
+        now: Duration,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&key)?;
+        let connections = idle.get_mut(key)?;
         connections
-            .retain(|connection| connection.idle_until > now && connection.sender.is_ready());
+            .retain(|connection| connection.is_reusable(now) && connection.sender.is_ready());
         // The server is least likely to have closed the most recently used connection.
         let has_refused = |connection: &Connection| {
             connection.refused.iter().any(|refused| **refused == *request_id)
@@ -398,7 +456,7 @@
     body: Incoming,
     framing: Framing,
     connection: Option<Connection>,
-    pool_slot: Option<PoolSlot>,
+    pool_slot: Option<Box<PoolSlot>>,
 }
 
 impl ResponseBody {
--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -315,7 +315,8 @@
                 | PeerResponse::Permit(_)
                 | PeerResponse::StreamVersion { .. }
                 | PeerResponse::Quota { .. }
-                | PeerResponse::QuotaPong { .. },
+                | PeerResponse::QuotaPong { .. }
+                | PeerResponse::Tunnel(_),
             )
             | Err(_) => {
                 log::warn!("watcher {address} sent an unexpected message; closing the connection");
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::{Attempt, Call};
 use crate::body::{InFlight, ResponseKind, Run};
-use crate::connection_pool::{SendError, ServerResponse};
+use crate::connection_pool::{SendError, ServerPath, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::platform::{ForwardInfo, ResponseInfo};
 use crate::prelude::*;
@@ -45,9 +45,7 @@
             let id = &self.info.id;
             log::warn!("request {id} is sent to server {}, which accepts none", server.id);
         }
-        let req = self.build_request(server, version, remaining);
-        let send =
-            self.entry.pool.send(server.address, &server.id, &self.info.id, req, self.entry.clock);
+        let send = self.send_to(server, version, record);
         let sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send).await;
         let now = self.entry.clock.now();
         let is_not_sent = matches!(&sent, Ok(Err(SendError::NotSent(_))));
@@ -106,6 +104,29 @@
         self.classify((key, server), response, &response_info, started, in_flight, record)
     }
 
+    /// Sends the request to a server, directly or through a peer, and waits for the response head.
+    async fn send_to(
+        &self,
+        server: &Arc<Server>,
+        version: Option<u64>,
+        record: &mut Record,
+    ) -> Result<ServerResponse, SendError> {
+        let entry = &self.entry;
+        let (connection, key) = entry.connect_server(server, &self.info.id).await?;
+        if let Some(peer) = connection.peer() {
+            record.add(Step::Through { peer: peer.clone() });
+        }
+        // Opening the connection took some of the time.
+        let remaining = self.deadline.saturating_sub(entry.clock.now());
+        let req = self.build_request(server, version, remaining);
+        let path = key.path;
+        let sent = entry.pool.send_on(connection, key, req, entry.clock).await;
+        if path == ServerPath::Direct && matches!(sent, Err(SendError::TimedOut(_))) {
+            entry.on_server_open_failed(server);
+        }
+        sent
+    }
+
     /// Decides whether to forward the response or to try another server.
     fn classify(
         &self,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -42,10 +42,13 @@
 mod refusals;
 mod respond;
 mod resume;
+mod server_paths;
 mod settings;
 mod state;
 mod store_watch;
 mod stream_versions;
+mod tunnel;
+mod tunnel_server;
 
 pub use clock::Clock;
 pub use connection_pool::{ConnectionPool, ResponseBody, SendError, ServerResponse};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -96,6 +96,13 @@
     pub(crate) left_zone: Gauge,
     pub(crate) paces: Counter,
     pub(crate) quota_requests: Family<QuotaLabels, Counter>,
+    pub(crate) services_cut_off: Gauge,
+    pub(crate) tunnels_opened: Counter,
+    pub(crate) tunnels_failed: Counter,
+    pub(crate) tunnelled_requests: Counter,
+    /// Tunnels that this host serves for peers.
+    pub(crate) tunnels_served: Gauge,
+    pub(crate) tunnels_refused: Counter,
 }
 
 /// Creates a histogram with buckets from 2 ms to 16 s, each twice the one before.
@@ -140,6 +147,12 @@
             left_zone: Gauge::default(),
             paces: Counter::default(),
             quota_requests: Family::default(),
+            services_cut_off: Gauge::default(),
+            tunnels_opened: Counter::default(),
+            tunnels_failed: Counter::default(),
+            tunnelled_requests: Counter::default(),
+            tunnels_served: Gauge::default(),
+            tunnels_refused: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests that have ended", metrics.ended.clone());
@@ -280,6 +293,36 @@
             "Returns of the store from an older copy that this host noticed",
             metrics.store_restores.clone(),
         );
+        registry.register(
+            "services_cut_off",
+            "Services to whose servers this host can't open connections",
+            metrics.services_cut_off.clone(),
+        );
+        registry.register(
+            "tunnels_opened",
+            "Connections to servers that peers opened for this host",
+            metrics.tunnels_opened.clone(),
+        );
+        registry.register(
+            "tunnels_failed",
+            "Attempts to open a connection to a server by way of a peer that failed",
+            metrics.tunnels_failed.clone(),
+        );
+        registry.register(
+            "tunnelled_requests",
+            "Requests sent to servers by way of peers",
+            metrics.tunnelled_requests.clone(),
+        );
+        registry.register(
+            "tunnels_served",
+            "Open connections to servers that this host serves for peers",
+            metrics.tunnels_served.clone(),
+        );
+        registry.register(
+            "tunnels_refused",
+            "Connections to servers that this host did not open for peers",
+            metrics.tunnels_refused.clone(),
+        );
         metrics
     }
 
--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -50,6 +50,8 @@
     },
     /// Tells the issuers of quotas that a zone reaches them.
     QuotaPing(QuotaPing),
+    /// Asks for a tunnel to a server; the first message of its connection, which becomes the tunnel.
+    OpenTunnel(TunnelRequest),
 }
 
 /// A message from the host that accepted the connection.
@@ -92,6 +94,31 @@
         /// Digest of the hosts that the sender of the reply knows.
         hosts_digest: u64,
     },
+    /// Replies to a request for a tunnel.
+    Tunnel(TunnelReply),
+}
+
+/// Names the server to which a tunnel is to lead.
+///
+/// The receiver looks up the address in its own server list, so that a tunnel leads to no other
+/// place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelRequest {
+    /// The server's id.
+    pub server: Arc<str>,
+    /// When the server started, in Unix milliseconds; tells apart processes with the same id.
+    pub started_at_ms: u64,
+}
+
+/// Whether a tunnel was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelReply {
+    /// The connection is the tunnel from now on.
+    Opened,
+    /// The sender of the reply opens no tunnels now.
+    Refused,
+    /// The sender of the reply does not know the server, or can't connect to it.
+    ServerUnreachable,
 }
 
 /// The part of a host in a quota.
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! The server for the requests of other entry hosts.
 
-use futures::{SinkExt, StreamExt};
+use futures::{SinkExt, StreamExt, stream};
 use guavaspread_fleet::QuotaDecision;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -11,11 +11,12 @@
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{
     AdapterReply, AdapterRequest, AdapterStatus, PeerRequest, PeerResponse, QuotaCall,
-    RenewalRequest,
+    RenewalRequest, TunnelReply,
 };
 use crate::peers::{QUEUE_CAPACITY, codec, frame};
 use crate::prelude::*;
 use crate::state::EntryState;
+use crate::tunnel_server;
 
 /// Serves the requests of peers until the process ends.
 pub(crate) async fn serve(entry: Rc<EntryState>, listener: TcpListener) {
@@ -36,7 +37,14 @@
     if let Err(e) = set_socket_options(&stream) {
         log::debug!("setting socket options on a peer's connection failed: {e}");
     }
-    let (mut sink, mut frames) = Framed::new(stream, codec()).split();
+    let mut framed = Framed::new(stream, codec());
+    let Some(Ok(first)) = framed.next().await else { return };
+    if let Ok(PeerRequest::OpenTunnel(request)) = postcard::from_bytes(&first) {
+        tunnel_server::serve(entry, framed, request).await;
+        return;
+    }
+    let (mut sink, frames) = framed.split();
+    let mut frames = stream::once(async { Ok(first) }).chain(frames).boxed_local();
     let (tx, mut rx) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
     let writer = tokio::task::spawn_local(async move {
         while let Some(frame) = rx.recv().await {
@@ -125,6 +133,13 @@
                     log::debug!("a ping was not replied to: the peer's queue is full or closed");
                 }
             }
+            PeerRequest::OpenTunnel(request) => {
+                log::warn!("a tunnel to {} needs a connection of its own", request.server);
+                let reply = PeerResponse::Tunnel(TunnelReply::Refused);
+                if self.tx.try_send(frame(&reply)).is_err() {
+                    log::debug!("a tunnel was not refused: the peer's queue is full or closed");
+                }
+            }
             PeerRequest::WatchFeeds => {
                 tokio::task::spawn_local(feed_relay::relay_feeds(
                     self.entry.clone(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -429,7 +429,7 @@
                 }
                 Next::Continue
             }
-            PeerResponse::FeedUpdate(_) => Next::Close,
+            PeerResponse::FeedUpdate(_) | PeerResponse::Tunnel(_) => Next::Close,
         }
     }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -22,6 +22,7 @@
 use crate::platform::{Feed, Platform, WriteOutcome};
 use crate::prelude::*;
 use crate::quotas::{self, Quotas};
+use crate::server_paths::{self, ServerPaths};
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
 use crate::stream_versions::StreamVersions;
@@ -84,6 +85,7 @@
     spawn_local(quotas::ping_issuers(entry.clone()));
     spawn_local(crash_gossip::gossip(entry.clone()));
     spawn_local(crash_gossip::persist(entry.clone()));
+    spawn_local(server_paths::watch_paths(entry.clone()));
     spawn_local(remove_expired(entry.clone()));
     spawn_local(watch_settings(entry.clone(), path));
     let mut term = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
@@ -162,6 +164,7 @@
         retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
         rejects_requests: Cell::new(false),
+        server_paths: ServerPaths::default(),
         cfg: RefCell::new(cfg),
     })
 }
@@ -232,7 +235,8 @@
     loop {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         let elapsed = entry.clock.now().saturating_sub(started);
-        let under_way = entry.metrics.under_way.get();
+        // Requests of peers use the tunnels that this host serves.
+        let under_way = entry.metrics.under_way.get() + entry.metrics.tunnels_served.get();
         if elapsed >= grace {
             log::warn!("grace period is over; stopping with {under_way} requests in flight");
             return;
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -27,6 +27,8 @@
     Asked { server: Arc<str>, version: Option<u64>, took_ms: u64 },
     /// The request was sent to a server.
     Sent { server: Arc<str>, version: Option<u64>, left_ms: u64 },
+    /// The connection to the server leads through this peer.
+    Through { peer: Arc<str> },
     /// The server responded with this status.
     Answered { status: u16, took_ms: u64 },
     /// The attempt ended without a response to forward.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,6 +20,7 @@
 use crate::platform::PlatformClients;
 use crate::prelude::*;
 use crate::quotas::Quotas;
+use crate::server_paths::ServerPaths;
 use crate::settings::EntrySettings;
 use crate::stream_versions::StreamVersions;
 
@@ -73,6 +74,7 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether this host rejects new requests.
     pub(crate) rejects_requests: Cell<bool>,
+    pub(crate) server_paths: ServerPaths,
 }
 
 impl EntryState {
@@ -81,6 +83,7 @@
         !*self.stopping.borrow()
             && self.has_routable_server()
             && self.crash_gossip.has_bootstrapped()
+            && self.has_path_to_servers()
     }
 
     /// Returns whether this host has a configuration and a server to route to.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! | respect drain and busy notices of servers | [`ServerNotices`], [`Availability`] |
 //! | track the rate limits that servers name | [`RateLimits`], [`RateLimit`] |
 //! | notice that no server of a service can be reached | [`Reachability`], [`PathChange`] |
+//! | choose the peers through which a host that is cut off reaches servers | [`TunnelPeers`] |
 //! | divide a server's rate limit among hosts | [`PermitIssuer`], [`permit_coordinators`] |
 //! | grant requests within organisations' quotas | [`QuotaLedger`], [`QuotaHosts`] |
 //! | schedule the load and unload commands to an engine | [`AdapterScheduler`], [`SchedulerStep`] |
@@ -68,6 +69,7 @@
 mod revision;
 mod server_list;
 mod store_era;
+mod tunnel_peers;
 mod version_history;
 mod watch;
 
@@ -117,5 +119,6 @@
     AdapterId, LoadedAdapter, LoadedModel, Server, ServerChange, ServerList, ServerState,
 };
 pub use store_era::{EraCheck, StatedEra, StoreEra};
+pub use tunnel_peers::{TunnelFailure, TunnelPeers};
 pub use version_history::{VersionCounts, VersionHistory, VersionStart};
 pub use watch::{RelayedServers, WatcherFreshness, watchers_to_follow, zone_watchers};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -375,6 +375,12 @@
         }
     }
 
+    /// Discards the connection failures of a service's servers: this host was cut off from all.
+    pub fn clear_unreachable(&mut self, service: &str) {
+        let candidates = self.candidates.values_mut();
+        candidates.filter(|c| &*c.server.service == service).for_each(Candidate::clear_unreachable);
+    }
+
     /// Returns how many of the ranked engines share the adapter's requests.
     ///
     /// The number follows the adapter's share of all requests and grows while these engines are
--- a/crates/fleet/src/placement/candidate.rs
+++ b/crates/fleet/src/placement/candidate.rs
@@ -88,6 +88,12 @@
         self.unreachable_count += u32::from(doublings < COOLDOWN_DOUBLINGS_MAX);
     }
 
+    /// Discards the connection failures, which were not the server's.
+    pub(super) fn clear_unreachable(&mut self) {
+        self.cooldown_until = Duration::ZERO;
+        self.unreachable_count = 0;
+    }
+
     /// Returns whether the server is not known to be unreachable.
     pub(super) fn is_reachable(&self, now: Duration) -> bool {
         self.cooldown_until <= now
