--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -121,8 +121,12 @@
         let req = self.build_request(server, version, remaining);
         let path = key.path;
         let sent = entry.pool.send_on(connection, key, req, entry.clock).await;
-        if path == ServerPath::Direct && matches!(sent, Err(SendError::TimedOut(_))) {
-            entry.on_server_open_failed(server);
+        match &sent {
+            Ok(_) if path == ServerPath::Direct => entry.on_direct_response(&server.service),
+            Err(SendError::TimedOut(_)) if path == ServerPath::Direct => {
+                entry.on_server_open_failed(server);
+            }
+            Ok(_) | Err(_) => {}
         }
         sent
     }
--- a/crates/entry/src/server_paths.rs
+++ b/crates/entry/src/server_paths.rs
@@ -149,6 +149,11 @@
         self.on_path_change(&server.service, &ready, change);
     }
 
+    /// Records a response on a direct connection.
+    pub(crate) fn on_direct_response(&self, service: &str) {
+        self.server_paths.reachability.borrow_mut().on_response(service, self.clock.now());
+    }
+
     /// Records that a connection to a server could not be opened directly, or that an open one was
     /// given up because nothing was acknowledged.
     pub(crate) fn on_server_open_failed(self: &Rc<Self>, server: &Server) {
@@ -266,8 +271,12 @@
         let mut cut_off_count = 0;
         for service in &services {
             let ready = entry.ready_servers(service);
-            entry.send_probes(service, &ready);
-            if entry.is_cut_off(service) {
+            let is_cut_off = entry.is_cut_off(service);
+            // A connection is a cost to the server, so an idle host probes nothing.
+            if is_cut_off || entry.placement.borrow().has_in_flight(service) {
+                entry.send_probes(service, &ready);
+            }
+            if is_cut_off {
                 cut_off_count += 1;
                 entry.explore_peers(service, &ready);
             }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -340,6 +340,11 @@
         self.candidates.get(key).map_or(0, |candidate| candidate.in_flight)
     }
 
+    /// Returns whether requests of this host are in flight at a service's servers.
+    pub fn has_in_flight(&self, service: &str) -> bool {
+        self.candidates.values().any(|c| c.in_flight > 0 && &*c.server.service == service)
+    }
+
     /// Records that a request sent to a server has ended.
     pub fn on_request_ended(&mut self, key: PlacementKey) {
         if let Some(candidate) = self.candidates.get_mut(key) {
--- a/crates/fleet/src/reachability.rs
+++ b/crates/fleet/src/reachability.rs
@@ -18,7 +18,7 @@
 const REACHED_SERVERS_MIN: usize = 2;
 /// How long a failure counts.
 const FAILURE_TTL: Duration = Duration::from_millis(2_000);
-/// Interval between probes while no request opens a connection.
+/// How long the servers of a service may be silent before one is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between rounds of probes after a failure, and while the host is cut off.
 const FAILURE_PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -52,7 +52,8 @@
     /// Servers that were reached since the last failure, while the host is cut off.
     reached: Vec<Arc<str>>,
     cut_off_since: Option<Duration>,
-    opened_at: Option<Duration>,
+    /// When the servers were last heard directly, which makes a probe needless.
+    heard_at: Option<Duration>,
     probed_at: Option<Duration>,
     /// Whether the last round of probes looked for further failures.
     is_confirming: bool,
@@ -79,6 +80,12 @@
         self.path(service).on_opened(server, ready.len(), now)
     }
 
+    /// Records a response on a direct connection. It makes a probe needless for a while, but is no
+    /// proof that new connections can be opened.
+    pub fn on_response(&mut self, service: &str, now: Duration) {
+        self.path(service).heard_at = Some(now);
+    }
+
     /// Records that a connection to a server could not be opened directly, or that an open one was
     /// given up by the kernel because nothing was acknowledged.
     pub fn on_open_failed(
@@ -120,7 +127,7 @@
     ) -> Option<PathChange> {
         self.failed.clear();
         self.is_confirming = false;
-        self.opened_at = Some(now);
+        self.heard_at = Some(now);
         let since = self.cut_off_since?;
         if !self.reached.contains(server) {
             self.reached.push(server.clone());
@@ -166,7 +173,7 @@
         let (count, interval) = if self.cut_off_since.is_some() {
             (REACHED_SERVERS_MIN, FAILURE_PROBE_INTERVAL)
         } else if self.failed.is_empty() {
-            if !is_due(self.opened_at, PROBE_INTERVAL) {
+            if !is_due(self.heard_at, PROBE_INTERVAL) {
                 return Vec::new();
             }
             (1, PROBE_INTERVAL)
--- a/crates/fleet/tests/reachability.rs
+++ b/crates/fleet/tests/reachability.rs
@@ -158,3 +158,16 @@
     assert_eq!(changes, []);
     assert!(probes < 200, "{probes} probes");
 }
+
+#[test]
+fn responses_make_probes_needless_but_prove_no_new_connection() {
+    let (mut paths, ready) = (Reachability::default(), servers(8));
+    paths.on_response(SERVICE, ms(1_000));
+    assert!(paths.take_probes(SERVICE, &ready, ms(1_400)).is_empty());
+    assert_eq!(paths.take_probes(SERVICE, &ready, ms(1_500)).len(), 1);
+    for server in &ready[..4] {
+        paths.on_open_failed(SERVICE, server, &ready, ms(2_000));
+        paths.on_response(SERVICE, ms(2_000));
+    }
+    assert!(paths.is_cut_off(SERVICE));
+}
