--- a/crates/entry/src/crash_probe.rs
+++ b/crates/entry/src/crash_probe.rs
@@ -160,7 +160,13 @@
             entry.on_rate_limit(server, response_info.notice.rate_limit);
             ProbeResult::SameServer
         }
-        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+            // A partition of this host may refuse connections to all servers.
+            match entry.reaches_other_servers(server).await {
+                true => ProbeResult::Refused,
+                false => ProbeResult::TimedOut,
+            }
+        }
         Ok(Ok(Err(_)) | Err(_)) | Err(_) => ProbeResult::TimedOut,
     }
 }
--- a/crates/entry/src/server_paths.rs
+++ b/crates/entry/src/server_paths.rs
@@ -1,6 +1,9 @@
 //! The paths to servers: directly, or through a peer while this host is cut off from a service.
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use guavaspread_fleet::{HostLease, PathChange, Reachability, Server, TunnelPeers};
+use guavaspread_model::rendezvous_score;
 
 use crate::connection_pool::{
     Connection, SendError, ServerKey, ServerPath, accepts_connections, connect,
@@ -12,6 +15,10 @@
 /// Interval between checks whether probes are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Servers to which connections are opened to tell a crash from a partition of this host. One is
+/// enough unless it is down too.
+const OTHER_SERVERS_MAX: usize = 3;
+
 /// What is known of the paths to servers.
 #[derive(Default)]
 pub(crate) struct ServerPaths {
@@ -219,18 +226,47 @@
             let server = self.server_list.borrow().get(&id).cloned();
             let Some(server) = server else { continue };
             let entry = self.clone();
-            tokio::task::spawn_local(async move { entry.probe_path(&server).await });
+            tokio::task::spawn_local(async move {
+                // The result is recorded.
+                entry.probe_path(&server).await;
+            });
         }
     }
 
-    async fn probe_path(self: &Rc<Self>, server: &Server) {
+    /// Returns whether a direct connection to a server can be opened, and records it.
+    async fn probe_path(self: &Rc<Self>, server: &Server) -> bool {
         match connect(server.address).await {
-            Ok(_) => self.on_server_opened(server),
+            Ok(_) => {
+                self.on_server_opened(server);
+                true
+            }
             Err(e) => {
                 log::debug!("no connection to server {}: {e}", server.id);
                 self.on_server_open_failed(server);
+                false
+            }
+        }
+    }
+
+    /// Returns whether a connection can be opened to another server of the service than this one;
+    /// also if there is no other.
+    pub(crate) async fn reaches_other_servers(self: &Rc<Self>, server: &Server) -> bool {
+        let mut others = self.ready_servers(&server.service);
+        others.retain(|id| *id != server.id);
+        others.sort_by_key(|id| rendezvous_score(&server.id, id));
+        others.truncate(OTHER_SERVERS_MAX);
+        if others.is_empty() {
+            return true;
+        }
+        let others = others.iter().filter_map(|id| self.server_list.borrow().get(id).cloned());
+        let probes = others.map(|other| async move { self.probe_path(&other).await });
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        while let Some(is_open) = probes.next().await {
+            if is_open {
+                return true;
             }
         }
+        false
     }
 
     /// Opens a tunnel for which no request waits, if one is due, to find out which peers help.
