--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -23,6 +23,7 @@
 use crate::platform::{Feed, Platform, WriteOutcome};
 use crate::prelude::*;
 use crate::quotas::{self, Quotas};
+use crate::server_paths::{self, ServerPaths};
 use crate::settings::EntrySettings;
 use crate::state::EntryState;
 use crate::stream_versions::StreamVersions;
@@ -88,6 +89,7 @@
     spawn_local(quotas::ping_issuers(entry.clone()));
     spawn_local(crash_gossip::gossip(entry.clone()));
     spawn_local(crash_gossip::persist(entry.clone()));
+    spawn_local(server_paths::watch_paths(entry.clone()));
     spawn_local(remove_expired(entry.clone()));
     spawn_local(watch_settings(entry.clone(), path));
     let mut term = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
@@ -168,6 +170,7 @@
         stop: Cell::default(),
         unsent_connections: Rc::default(),
         gives_up: watch::Sender::new(false),
+        server_paths: ServerPaths::default(),
         cfg: RefCell::new(cfg),
     })
 }
@@ -239,7 +242,8 @@
     loop {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         let now = entry.clock.now();
-        let under_way = entry.metrics.under_way.get();
+        // Requests of peers use the tunnels that this host serves.
+        let under_way = entry.metrics.under_way.get() + entry.metrics.tunnels_served.get();
         let unsent = entry.unsent_connections.get();
         match schedule.next_action(now, under_way > 0 || unsent > 0) {
             StopAction::Wait => {}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,6 +22,7 @@
 use crate::platform::{PlatformClients, ResponseInfo};
 use crate::prelude::*;
 use crate::quotas::Quotas;
+use crate::server_paths::ServerPaths;
 use crate::settings::EntrySettings;
 use crate::stream_versions::StreamVersions;
 
@@ -79,6 +80,7 @@
     pub(crate) unsent_connections: UnsentConnections,
     /// Becomes true when the requests that are left are given up, as the process exits.
     pub(crate) gives_up: watch::Sender<bool>,
+    pub(crate) server_paths: ServerPaths,
 }
 
 impl EntryState {
@@ -87,6 +89,7 @@
         !*self.stopping.borrow()
             && self.has_routable_server()
             && self.crash_gossip.has_bootstrapped()
+            && self.has_path_to_servers()
     }
 
     /// Returns whether this host accepts a request that has just arrived.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -344,6 +344,11 @@
         self.candidates.get(key).map_or(0, |candidate| candidate.in_flight)
     }
 
+    /// Returns whether requests of this host are in flight at a service's servers.
+    pub fn has_in_flight(&self, service: &str) -> bool {
+        self.candidates.values().any(|c| c.in_flight > 0 && &*c.server.service == service)
+    }
+
     /// Records that a request sent to a server has ended.
     pub fn on_request_ended(&mut self, key: PlacementKey) {
         if let Some(candidate) = self.candidates.get_mut(key) {
@@ -379,6 +384,12 @@
         }
     }
 
+    /// Discards the connection failures of a service's servers: this host was cut off from all.
+    pub fn clear_unreachable(&mut self, service: &str) {
+        let candidates = self.candidates.values_mut();
+        candidates.filter(|c| &*c.server.service == service).for_each(Candidate::clear_unreachable);
+    }
+
     /// Returns how many of the ranked engines share the adapter's requests.
     ///
     /// The number follows the adapter's share of all requests and grows while these engines are
