--- a/crates/entry/src/tunnel_server.rs
+++ b/crates/entry/src/tunnel_server.rs
@@ -18,7 +18,7 @@
 
 /// Tunnels served at a time. Each takes two file descriptors and two buffers, which the requests of
 /// this host's own callers need too.
-const TUNNELS_SERVED_MAX: i64 = 256;
+const TUNNELS_SERVED_MAX: i64 = 128;
 /// How long a server may take to accept a connection; the peer's own timeout is longer.
 const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Buffer for the bytes to the server.
