--- a/crates/entry/src/server_paths.rs
+++ b/crates/entry/src/server_paths.rs
@@ -208,14 +208,22 @@
         self.placement.borrow_mut().clear_unreachable(service);
     }
 
-    /// Lists the servers of a service that are listed as ready, by id.
+    /// Lists the servers of a service that are listed as ready: those of the own zone and others by
+    /// turns, each in the order of their ids.
     fn ready_servers(&self, service: &str) -> Vec<Arc<str>> {
         let server_list = self.server_list.borrow();
+        let zone = self.cfg.borrow().zone.clone();
         let servers = server_list.servers();
         let ready = servers.filter(|server| server.is_ready() && &*server.service == service);
-        let mut ready: Vec<Arc<str>> = ready.map(|server| server.id.clone()).collect();
+        let (here, elsewhere): (Vec<_>, Vec<_>) = ready.partition(|server| server.zone == zone);
+        let ranked = |servers: Vec<&Arc<Server>>, is_elsewhere: bool| {
+            let mut ids: Vec<Arc<str>> = servers.iter().map(|server| server.id.clone()).collect();
+            ids.sort();
+            ids.into_iter().enumerate().map(move |(rank, id)| (rank, is_elsewhere, id))
+        };
+        let mut ready: Vec<_> = ranked(here, false).chain(ranked(elsewhere, true)).collect();
         ready.sort();
-        ready
+        ready.into_iter().map(|(_, _, id)| id).collect()
     }
 
     /// Starts the probes that are due.
--- a/crates/fleet/src/reachability.rs
+++ b/crates/fleet/src/reachability.rs
@@ -3,7 +3,8 @@
 //! A host may be partitioned from all servers while callers, the store and other hosts still reach
 //! it. A few servers that can't be reached prove nothing: they may have crashed. The host is cut
 //! off from a service when it can open connections to none of several servers that are listed as
-//! ready. One failure is enough to probe the others, so that the evidence does not depend on the
+//! ready, in its own zone and in others: one that reaches the servers of its own zone uses these. One
+//! failure is enough to probe the others, so that the evidence does not depend on the
 //! order in which requests choose servers.
 //!
 //! Only the opening of a connection counts. An open connection may outlive the path to its server,
@@ -11,11 +12,13 @@
 
 use crate::prelude::*;
 
-/// Servers that have to be out of reach before the host counts as cut off; all of them if the
+/// Servers that all have to be out of reach before the host counts as cut off; all of them if the
 /// service has fewer. With less, servers that failed together would look like a partition.
-const UNREACHABLE_SERVERS_MIN: usize = 4;
+const WITNESSES_MAX: usize = 4;
 /// Servers that have to be reached again; all of them if the service has fewer.
 const REACHED_SERVERS_MIN: usize = 2;
+/// How long opening a connection takes to fail. A failure so soon after a success began before it.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a failure counts.
 const FAILURE_TTL: Duration = Duration::from_millis(2_000);
 /// How long the servers of a service may be silent before one is probed.
@@ -52,6 +55,8 @@
     /// Servers that were reached since the last failure, while the host is cut off.
     reached: Vec<Arc<str>>,
     cut_off_since: Option<Duration>,
+    /// When a connection was last opened.
+    opened_at: Option<Duration>,
     /// When the servers were last heard directly, which makes a probe needless.
     heard_at: Option<Duration>,
     probed_at: Option<Duration>,
@@ -69,7 +74,8 @@
 
     /// Records that a connection to a server was opened directly.
     ///
-    /// `ready` lists the servers of the service that are listed as ready, in a stable order.
+    /// `ready` lists the servers of the service that are listed as ready, in a stable order. The
+    /// first ones are those whose failures prove a partition.
     pub fn on_opened(
         &mut self,
         service: &str,
@@ -127,7 +133,7 @@
     ) -> Option<PathChange> {
         self.failed.clear();
         self.is_confirming = false;
-        self.heard_at = Some(now);
+        (self.opened_at, self.heard_at) = (Some(now), Some(now));
         let since = self.cut_off_since?;
         if !self.reached.contains(server) {
             self.reached.push(server.clone());
@@ -151,16 +157,17 @@
             return None;
         }
         self.expire(ready, now);
+        let is_older_than_success = self.opened_at.is_some_and(|at| now <= at + OPEN_TIMEOUT);
         // A server that is not listed as ready may be about to end.
-        if !ready.contains(server) {
+        if is_older_than_success || !ready.contains(server) {
             return None;
         }
         self.failed.retain(|(failed, _)| failed != server);
         self.failed.push((server.clone(), now));
-        let servers = self.failed.len();
-        if servers < UNREACHABLE_SERVERS_MIN.min(ready.len()) {
+        if !self.untested_witnesses(ready).is_empty() {
             return None;
         }
+        let servers = self.failed.len();
         self.failed.clear();
         self.is_confirming = false;
         self.cut_off_since = Some(now);
@@ -170,24 +177,34 @@
     fn take_probes(&mut self, ready: &[Arc<str>], now: Duration) -> Vec<Arc<str>> {
         self.expire(ready, now);
         let is_due = |at: Option<Duration>, interval| at.is_none_or(|at| now >= at + interval);
-        let (count, interval) = if self.cut_off_since.is_some() {
-            (REACHED_SERVERS_MIN, FAILURE_PROBE_INTERVAL)
-        } else if self.failed.is_empty() {
-            if !is_due(self.heard_at, PROBE_INTERVAL) {
-                return Vec::new();
-            }
-            (1, PROBE_INTERVAL)
-        } else {
+        let is_suspected = self.cut_off_since.is_none() && !self.failed.is_empty();
+        let interval = if self.cut_off_since.is_some() {
+            FAILURE_PROBE_INTERVAL
+        } else if is_suspected {
             // The first failure is confirmed at once, whenever the last probe was.
-            let interval = if self.is_confirming { FAILURE_PROBE_INTERVAL } else { Duration::ZERO };
-            (UNREACHABLE_SERVERS_MIN.saturating_sub(self.failed.len()), interval)
+            if self.is_confirming { FAILURE_PROBE_INTERVAL } else { Duration::ZERO }
+        } else if is_due(self.heard_at, PROBE_INTERVAL) {
+            PROBE_INTERVAL
+        } else {
+            return Vec::new();
         };
         if !is_due(self.probed_at, interval) {
             return Vec::new();
         }
         self.probed_at = Some(now);
-        self.is_confirming = !self.failed.is_empty();
-        self.next_servers(ready, count)
+        self.is_confirming = is_suspected;
+        match self.cut_off_since {
+            Some(_) => self.next_servers(ready, REACHED_SERVERS_MIN),
+            None if is_suspected => self.untested_witnesses(ready),
+            None => self.next_servers(ready, 1),
+        }
+    }
+
+    /// Returns the servers that still have to fail before the host counts as cut off.
+    fn untested_witnesses(&self, ready: &[Arc<str>]) -> Vec<Arc<str>> {
+        let is_untested =
+            |server: &&Arc<str>| !self.failed.iter().any(|(failed, _)| failed == *server);
+        ready.iter().take(WITNESSES_MAX).filter(is_untested).cloned().collect()
     }
 
     /// Returns the next servers in turn that have not failed.
--- a/crates/fleet/tests/reachability.rs
+++ b/crates/fleet/tests/reachability.rs
@@ -159,6 +159,16 @@
     assert!(probes < 200, "{probes} probes");
 }
 
+/// A zone that is partitioned from the others. Servers of the own zone and others stand by turns.
+#[test_case(8, 3; "three servers in the own zone")]
+#[test_case(9, 1; "one server in the own zone")]
+fn a_host_that_reaches_its_own_zone_is_not_cut_off(count: usize, own_zone: usize) {
+    let is_in_own_zone = |server: usize| server % 2 == 0 && server / 2 < own_zone;
+    let (changes, probes) = probe(count, 20_000, |server, _| is_in_own_zone(server));
+    assert_eq!(changes, []);
+    assert!(probes < 200, "{probes} probes");
+}
+
 #[test]
 fn responses_make_probes_needless_but_prove_no_new_connection() {
     let (mut paths, ready) = (Reachability::default(), servers(8));
