--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -169,7 +169,9 @@
         }
         let failure = || format!("the server failed with {status}");
         if is_refusal_status(status) {
-            // The server does not state that the request did not run, but its status would.
+            // The server does not state that the request did not run, but its status would. It may be
+            // no response to this request, which then still follows.
+            response.close();
             return self.on_unproven_run(key, None, failure(), record);
         }
         if status.is_server_error() && self.route.is_repeatable() {
