--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -89,6 +89,12 @@
         record.add(Step::Answered { status: status.as_u16(), took_ms: elapsed.as_millis() as u64 });
         let response_info =
             self.entry.platform.protocol.parse_response(status, &response.head.headers);
+        if self.is_foreign(server, &response, &response_info) {
+            // The next request would read this request's response.
+            response.close();
+            let detail = "the answer is another request's".to_owned();
+            return self.on_unproven_run(key, None, detail, record);
+        }
         if !response_info.is_other_server(&server.id) {
             self.entry.on_server_notice(server, response_info.notice);
         }
@@ -141,12 +147,6 @@
         in_flight: InFlight,
         record: &mut Record,
     ) -> Attempt {
-        if self.is_foreign(server, &response, response_info) {
-            // The next request would read this request's response.
-            response.close();
-            let detail = "the answer is another request's".to_owned();
-            return self.on_unproven_run(key, None, detail, record);
-        }
         if response_info.is_sealed || response_info.is_not_run() {
             self.entry.on_rate_limit_response(server, response_info, sent_at);
             let is_rejected = response_info.is_not_run()
