--- a/crates/fleet/src/event_framer.rs
+++ b/crates/fleet/src/event_framer.rs
@@ -8,9 +8,8 @@
 use crate::event_scanner::{EventScanner, StreamPosition};
 
 /// Limit of the buffered part of an event. A stream with a larger event is forwarded unbuffered and
-/// can't be resumed; otherwise an endless event would grow the buffer without limit, and 64 KiB for
-/// each of as many streams as a machine has connections would take all of its memory.
-const BUFFERED_BYTES_MAX: usize = 16 * 1024;
+/// can't be resumed; otherwise an endless event would grow the buffer without limit.
+const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 const ID_FIELD: &[u8] = b"id:";
 
 /// Forwards complete events and remembers the id of the last one.
