--- a/crates/entry/src/server_paths.rs
+++ b/crates/entry/src/server_paths.rs
@@ -149,7 +149,11 @@
 
     /// Records that a connection to a server was opened directly.
     pub(crate) fn on_server_opened(self: &Rc<Self>, server: &Server) {
-        let ready = self.ready_servers(&server.service);
+        // The list takes time in proportion to the servers, and connections are opened often.
+        let ready = match self.is_cut_off(&server.service) {
+            true => self.ready_servers(&server.service),
+            false => Vec::new(),
+        };
         let mut reachability = self.server_paths.reachability.borrow_mut();
         let change = reachability.on_opened(&server.service, &server.id, &ready, self.clock.now());
         drop(reachability);
@@ -226,6 +230,10 @@
         ready.into_iter().map(|(_, _, id)| id).collect()
     }
 
+    fn is_path_probe_due(&self, service: &str) -> bool {
+        self.server_paths.reachability.borrow().is_probe_due(service, self.clock.now())
+    }
+
     /// Starts the probes that are due.
     fn send_probes(self: &Rc<Self>, service: &str, ready: &[Arc<str>]) {
         let now = self.clock.now();
@@ -303,26 +311,20 @@
 pub(crate) async fn watch_paths(entry: Rc<EntryState>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let mut services: Vec<Arc<str>> =
-            entry.server_list.borrow().servers().map(|server| server.service.clone()).collect();
-        services.sort();
-        services.dedup();
-        entry
-            .server_paths
-            .reachability
-            .borrow_mut()
-            .retain(|service| services.iter().any(|known| **known == *service));
+        let Some(catalog) = entry.catalog.borrow().clone() else { continue };
+        let is_configured = |service: &str| catalog.service(service).is_some();
+        entry.server_paths.reachability.borrow_mut().retain(is_configured);
         let mut cut_off_count = 0;
-        for service in &services {
-            let ready = entry.ready_servers(service);
+        for service in catalog.services().map(|service| &service.name) {
             let is_cut_off = entry.is_cut_off(service);
+            let is_due = entry.is_path_probe_due(service);
             // A connection is a cost to the server, so an idle host probes nothing.
-            if is_cut_off || entry.placement.borrow().has_in_flight(service) {
-                entry.send_probes(service, &ready);
+            if is_due && (is_cut_off || entry.placement.borrow().has_in_flight(service)) {
+                entry.send_probes(service, &entry.ready_servers(service));
             }
             if is_cut_off {
                 cut_off_count += 1;
-                entry.explore_peers(service, &ready);
+                entry.explore_peers(service, &entry.ready_servers(service));
             }
         }
         entry.metrics.services_cut_off.set(cut_off_count);
--- a/crates/fleet/src/reachability.rs
+++ b/crates/fleet/src/reachability.rs
@@ -104,6 +104,11 @@
         self.path(service).on_open_failed(server, ready, now)
     }
 
+    /// Returns whether [`Reachability::take_probes`] may return any servers now.
+    pub fn is_probe_due(&self, service: &str, now: Duration) -> bool {
+        self.services.get(service).is_none_or(|path| path.is_probe_due(now))
+    }
+
     /// Returns the servers to probe now, by opening a direct connection to each.
     pub fn take_probes(
         &mut self,
@@ -176,30 +181,35 @@
 
     fn take_probes(&mut self, ready: &[Arc<str>], now: Duration) -> Vec<Arc<str>> {
         self.expire(ready, now);
-        let is_due = |at: Option<Duration>, interval| at.is_none_or(|at| now >= at + interval);
-        let is_suspected = self.cut_off_since.is_none() && !self.failed.is_empty();
-        let interval = if self.cut_off_since.is_some() {
-            FAILURE_PROBE_INTERVAL
-        } else if is_suspected {
-            // The first failure is confirmed at once, whenever the last probe was.
-            if self.is_confirming { FAILURE_PROBE_INTERVAL } else { Duration::ZERO }
-        } else if is_due(self.heard_at, PROBE_INTERVAL) {
-            PROBE_INTERVAL
-        } else {
-            return Vec::new();
-        };
-        if !is_due(self.probed_at, interval) {
+        if !self.is_probe_due(now) {
             return Vec::new();
         }
         self.probed_at = Some(now);
-        self.is_confirming = is_suspected;
+        self.is_confirming = self.is_suspected();
         match self.cut_off_since {
             Some(_) => self.next_servers(ready, REACHED_SERVERS_MIN),
-            None if is_suspected => self.untested_witnesses(ready),
+            None if self.is_confirming => self.untested_witnesses(ready),
             None => self.next_servers(ready, 1),
         }
     }
 
+    fn is_probe_due(&self, now: Duration) -> bool {
+        let is_over = |at: Option<Duration>, interval| at.is_none_or(|at| now >= at + interval);
+        if self.cut_off_since.is_some() {
+            is_over(self.probed_at, FAILURE_PROBE_INTERVAL)
+        } else if self.is_suspected() {
+            // The first failure is confirmed at once, whenever the last probe was.
+            !self.is_confirming || is_over(self.probed_at, FAILURE_PROBE_INTERVAL)
+        } else {
+            is_over(self.heard_at, PROBE_INTERVAL) && is_over(self.probed_at, PROBE_INTERVAL)
+        }
+    }
+
+    /// Returns whether a failure is to be confirmed at other servers.
+    fn is_suspected(&self) -> bool {
+        self.cut_off_since.is_none() && !self.failed.is_empty()
+    }
+
     /// Returns the servers that still have to fail before the host counts as cut off.
     fn untested_witnesses(&self, ready: &[Arc<str>]) -> Vec<Arc<str>> {
         let is_untested =
