--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -7,6 +7,7 @@
 //! loaded.
 
 use guavaspread_fleet::{AdapterId, Grant, LoadReport, PlacementKey, Prompt, Server};
+use serde::Serialize;
 
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{AdapterRequest, AdapterStatus};
@@ -66,10 +67,24 @@
     pub(crate) deadline: Duration,
 }
 
+/// What the version of a granted request was decided by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum GrantBasis {
+    /// The engine's owner.
+    Owner,
+    /// The last grant of an owner that does not respond.
+    LastGrant,
+    /// The engine's row in the server list, while its owner does not respond.
+    ServerList,
+}
+
 /// The result of an access request.
 pub(crate) enum Access {
-    /// The request may be sent, for this version of the adapter if one is known.
-    Granted(Option<u64>, AdapterHold),
+    /// The request may be sent, for this version of the adapter.
+    Granted(u64, GrantBasis, AdapterHold),
+    /// The request names no adapter and may be sent.
+    NoAdapter,
     /// The request may not be sent.
     Denied,
     /// The engine's owner does not respond or released it; an adapter may be loaded there after this
@@ -126,7 +141,7 @@
             let now = entry.clock.now();
             let grant = Grant { version, expires_at: now + GRANT_TTL };
             entry.grant_cache.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
-            Access::Granted(Some(version), hold)
+            Access::Granted(version, GrantBasis::Owner, hold)
         }
         Some((
             AdapterStatus::Loading | AdapterStatus::LoadTimedOut | AdapterStatus::Unavailable,
@@ -141,7 +156,7 @@
 
 /// Returns the newest version of an adapter and the oldest version that may still be used.
 fn versions(entry: &EntryState, id: &AdapterId, now: Duration) -> (u64, u64) {
-    match entry.versions.borrow().get(id) {
+    match entry.versions.borrow().newer_than(id, 0) {
         Some(known) if now >= known.since + OLD_VERSION_TTL => (known.version, known.version),
         Some(known) => (known.version, 0),
         None => (0, 0),
@@ -187,14 +202,16 @@
 ) -> Access {
     let now = entry.clock.now();
     if let Some(grant) = entry.grant_cache.borrow().get(&server.id, id, version_min, now) {
-        return Access::Granted(Some(grant.version), AdapterHold::default());
+        return Access::Granted(grant.version, GrantBasis::LastGrant, AdapterHold::default());
     }
     let server_list = entry.server_list.borrow();
     let current = server_list.get(&server.id).unwrap_or(server);
     let with_model = current.models.iter().filter(|model| model.name == id.model);
     let mut adapters = with_model.flat_map(|model| model.adapters.iter());
     match adapters.find(|a| a.name == id.adapter && a.version >= version_min) {
-        Some(adapter) => Access::Granted(Some(adapter.version), AdapterHold::default()),
+        Some(adapter) => {
+            Access::Granted(adapter.version, GrantBasis::ServerList, AdapterHold::default())
+        }
         None => denied(entry, server),
     }
 }
--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -241,8 +241,8 @@
             if let Some(catalog) = &*entry.catalog.borrow() {
                 rows.push(FeedRow::Catalog(Box::new((**catalog).clone())));
             }
-            for (id, known) in entry.versions.borrow().iter() {
-                rows.push(FeedRow::Version { id: id.clone(), version: known.version });
+            for (id, version) in entry.versions.borrow().iter() {
+                rows.push(FeedRow::Version { id: id.clone(), version });
             }
         }
         Feed::Servers => {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -293,7 +293,8 @@
         let ((key, server), access) =
             self.acquire_adapter(candidate, progress, &excluded, record).await;
         let (version, hold) = match access {
-            Access::Granted(version, hold) => (version, hold),
+            Access::Granted(version, _, hold) => (Some(version), hold),
+            Access::NoAdapter => (None, AdapterHold::default()),
             Access::LoadTooLate(wait) => {
                 return Selection::None(not_loaded(&progress.attempts, wait));
             }
@@ -436,7 +437,7 @@
         record: &mut Record,
     ) -> Access {
         let Some(id) = self.adapter() else {
-            return Access::Granted(None, AdapterHold::default());
+            return Access::NoAdapter;
         };
         let started = self.entry.clock.now();
         let prompt = Prompt {
@@ -456,17 +457,18 @@
         let access = access::request(&self.entry, (key, server), params).await;
         let elapsed = self.entry.clock.now().saturating_sub(started);
         if elapsed > Duration::ZERO {
-            let version = match &access {
-                Access::Granted(version, _) => *version,
-                Access::Denied
+            let (version, by) = match &access {
+                Access::Granted(version, basis, _) => (Some(*version), Some(*basis)),
+                Access::NoAdapter
+                | Access::Denied
                 | Access::OwnerLost(_)
                 | Access::FetchRequired
                 | Access::LoadTooLate(_)
                 | Access::Full
-                | Access::NotFound => None,
+                | Access::NotFound => (None, None),
             };
             let took_ms = elapsed.as_millis() as u64;
-            record.add(Step::Asked { server: server.id.clone(), version, took_ms });
+            record.add(Step::Asked { server: server.id.clone(), version, by, took_ms });
             self.entry.metrics.load_wait_seconds.observe(elapsed.as_secs_f64());
         }
         access
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt: sends a request to one server and classifies the response.
 
-use guavaspread_fleet::{AttemptOutcome, Attempts, ConnectionLoss, PlacementKey, Server};
+use guavaspread_fleet::{
+    AttemptOutcome, Attempts, ConnectionLoss, KnownVersion, PlacementKey, Server,
+};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 
@@ -87,6 +89,7 @@
         let elapsed = now.saturating_sub(started);
         let status = response.head.status;
         record.add(Step::Answered { status: status.as_u16(), took_ms: elapsed.as_millis() as u64 });
+        self.note_old_version(version, now, record);
         let response_info =
             self.entry.platform.protocol.parse_response(status, &response.head.headers);
         if self.is_foreign(server, &response, &response_info) {
@@ -110,6 +113,16 @@
         self.classify((key, server), response, &response_info, started, in_flight, record)
     }
 
+    /// Records that the answer begins on an older version of the adapter than this host knows.
+    fn note_old_version(&self, version: Option<u64>, now: Duration, record: &mut Record) {
+        let (Some(id), Some(version)) = (self.adapter(), version) else { return };
+        let newer = self.entry.versions.borrow().newer_than(&id, version);
+        let Some(KnownVersion { version: newest, since }) = newer else { return };
+        let known_ms = now.saturating_sub(since).as_millis() as u64;
+        record.add(Step::OldVersion { newest, known_ms });
+        self.entry.metrics.old_versions.inc();
+    }
+
     /// Sends the request to a server, directly or through a peer, and waits for the response head.
     async fn send_to(
         &self,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -72,6 +72,8 @@
     pub(crate) retries: Counter,
     pub(crate) retries_denied: Counter,
     pub(crate) orders: Counter,
+    /// Answers that began on an older version of their adapter than this host knew by then.
+    pub(crate) old_versions: Counter,
     pub(crate) unreadable_rows: Counter,
     pub(crate) servers_ended: Family<CrashLabels, Counter>,
     pub(crate) contents_held: Gauge,
@@ -129,6 +131,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             orders: Counter::default(),
+            old_versions: Counter::default(),
             unreadable_rows: Counter::default(),
             servers_ended: Family::default(),
             contents_held: Gauge::default(),
@@ -189,6 +192,11 @@
             "Load and unload commands sent to engines",
             metrics.orders.clone(),
         );
+        registry.register(
+            "old_versions",
+            "Answers that began on an older version of their adapter than this host knew",
+            metrics.old_versions.clone(),
+        );
         registry.register(
             "unreadable_rows",
             "Store rows that could not be decoded",
--- a/crates/entry/src/owned_engines.rs
+++ b/crates/entry/src/owned_engines.rs
@@ -366,8 +366,8 @@
     let loaded = server.models.first().map(|loaded| loaded.name.clone());
     let model = loaded.or_else(|| spec.models.first().map(|model| model.name.clone()))?;
     let mut scheduler = AdapterScheduler::new(spec, model);
-    for (id, known) in entry.versions.borrow().iter() {
-        scheduler.on_new_version(id, known.version);
+    for (id, version) in entry.versions.borrow().iter() {
+        scheduler.on_new_version(id, version);
     }
     Some(scheduler)
 }
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -9,6 +9,7 @@
 use http::Version;
 use serde::Serialize;
 
+use crate::access::GrantBasis;
 use crate::connection_pool::Framing;
 use crate::metrics::{BodyEndLabels, RequestLabels};
 use crate::prelude::*;
@@ -24,13 +25,16 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Step {
     /// Access to an adapter was requested from the engine's owner.
-    Asked { server: Arc<str>, version: Option<u64>, took_ms: u64 },
+    Asked { server: Arc<str>, version: Option<u64>, by: Option<GrantBasis>, took_ms: u64 },
     /// The request was sent to a server.
     Sent { server: Arc<str>, version: Option<u64>, left_ms: u64 },
     /// The connection to the server leads through this peer.
     Through { peer: Arc<str> },
     /// The server responded with this status.
     Answered { status: u16, took_ms: u64 },
+    /// The answer began on an older version of the adapter than this one, which this host has known
+    /// for this long.
+    OldVersion { newest: u64, known_ms: u64 },
     /// The attempt ended without a response to forward.
     Failed { outcome: &'static str, detail: String },
     /// The server was lost; the stream resumes on another server after this event.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use guavaspread_fleet::{
-    AdapterId, Availability, Catalog, CrashDetector, Departures, GrantCache, HostLease,
-    LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer, Placement, Quarantine,
-    RejectionNotice, RequestLimits, RetryShares, Server, ServerChange, ServerCrash, ServerList,
-    ServerNotice, StopSchedule, revision_era,
+    AdapterId, AdapterVersions, Availability, Catalog, CrashDetector, Departures, GrantCache,
+    HostLease, LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer, Placement,
+    Quarantine, RejectionNotice, RequestLimits, RetryShares, Server, ServerChange, ServerCrash,
+    ServerList, ServerNotice, StopSchedule, revision_era,
 };
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
@@ -26,13 +26,6 @@
 use crate::settings::EntrySettings;
 use crate::stream_versions::StreamVersions;
 
-/// The newest version of an adapter, and when this host first received it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct KnownVersion {
-    pub(crate) version: u64,
-    pub(crate) since: Duration,
-}
-
 /// Shared state of the process.
 pub(crate) struct EntryState {
     pub(crate) cfg: RefCell<EntrySettings>,
@@ -48,7 +41,7 @@
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     /// The limits in force, which also hold for open connections.
     pub(crate) limits: watch::Sender<RequestLimits>,
-    pub(crate) versions: RefCell<HashMap<AdapterId, KnownVersion>>,
+    pub(crate) versions: RefCell<AdapterVersions>,
     pub(crate) server_list: RefCell<ServerList>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) grant_cache: RefCell<GrantCache>,
@@ -184,14 +177,11 @@
 
     /// Records a newly registered version of an adapter.
     pub(crate) fn on_new_version(&self, id: AdapterId, version: u64) {
-        let now = self.clock.now();
-        let mut versions = self.versions.borrow_mut();
-        if versions.get(&id).is_some_and(|known| known.version >= version) {
+        if !self.versions.borrow_mut().on_version(&id, version, self.clock.now()) {
             return;
         }
         log::info!("version {version} of adapter {}/{} is registered", id.model, id.adapter);
         self.owned_engines.on_new_version(&id, version);
-        versions.insert(id, KnownVersion { version, since: now });
     }
 
     /// Applies changes of the server list.
@@ -257,7 +247,7 @@
     ///
     /// A load has a content id like a request, because it may crash its engine too.
     pub(crate) fn load_content(&self, id: &AdapterId) -> ContentId {
-        let version = self.versions.borrow().get(id).map_or(0, |known| known.version);
+        let version = self.versions.borrow().newest(id);
         let (model, adapter) = (id.model.as_bytes(), id.adapter.as_bytes());
         ContentId::of(&[b"load", model, adapter, &version.to_le_bytes()])
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 //! | divide a server's rate limit among hosts | [`PermitIssuer`], [`permit_coordinators`] |
 //! | grant requests within organisations' quotas | [`QuotaLedger`], [`QuotaHosts`] |
 //! | schedule the load and unload commands to an engine | [`AdapterScheduler`], [`SchedulerStep`] |
+//! | know the newest versions of adapters | [`AdapterVersions`], [`KnownVersion`] |
 //! | schedule the prefills of an engine | [`PrefillQueue`], [`PrefillAdmission`] |
 //! | acquire and renew leases on engines | [`LeaseManager`], [`LeaseAction`] |
 //! | batch the lease renewals of a zone | [`RenewalBatch`] |
@@ -42,6 +43,7 @@
 //! value.
 
 mod adapter_scheduler;
+mod adapter_versions;
 mod attempts;
 mod backoff;
 mod caller_connection;
@@ -78,6 +80,7 @@
 mod watch;
 
 pub use adapter_scheduler::AdapterScheduler;
+pub use adapter_versions::{AdapterVersions, KnownVersion};
 pub use attempts::{AttemptOutcome, Attempts, RetryDecision};
 pub use backoff::Backoff;
 pub use caller_connection::{CallerConnection, ConnectionAction};
