--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -26,9 +26,6 @@
 pub(crate) const RESUME_LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time before the deadline that is reserved for running the request.
 const RUN_TIME_RESERVE: Duration = Duration::from_millis(100);
-/// How long the previous version of an adapter may still be used while owners replace it.
-const OLD_VERSION_TTL: Duration = Duration::from_millis(2_500);
-
 /// How long the last grant may be used when the owner does not respond.
 const GRANT_TTL: Duration = Duration::from_secs(5);
 
@@ -108,14 +105,14 @@
 ) -> Access {
     let now = entry.clock.now();
     let AccessParams { id, prompt, was_refused, may_fetch, load_timeout, deadline } = params;
-    let (newest, version_min) = versions(entry, id, now);
+    let version_min = entry.versions.borrow().newest(id);
     let load_wait = deadline.saturating_sub(now + RUN_TIME_RESERVE).min(load_timeout);
     let request = AdapterRequest {
         request_id: 0,
         engine: server.id.to_string(),
         model: id.model.to_string(),
         adapter: id.adapter.to_string(),
-        version_min: newest,
+        version_min,
         load_wait_ms: load_wait.as_millis() as u32,
         was_refused,
         may_fetch,
@@ -154,15 +151,6 @@
     }
 }
 
-/// Returns the newest version of an adapter and the oldest version that may still be used.
-fn versions(entry: &EntryState, id: &AdapterId, now: Duration) -> (u64, u64) {
-    match entry.versions.borrow().newer_than(id, 0) {
-        Some(known) if now >= known.since + OLD_VERSION_TTL => (known.version, known.version),
-        Some(known) => (known.version, 0),
-        None => (0, 0),
-    }
-}
-
 async fn request_from_owner(
     entry: &Rc<EntryState>,
     server: &Arc<Server>,
@@ -194,6 +182,9 @@
 }
 
 /// Decides without the owner, by the last grant or else by the server list, which lags.
+///
+/// A version below `version_min` is not accepted: a host that has just started, or that was
+/// partitioned, can't tell how long ago the newer one was named.
 fn decide_without_owner(
     entry: &EntryState,
     server: &Arc<Server>,
