--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -326,6 +326,10 @@
         if !has_permit && self.acquire_permit(&server, progress, record).await == Permit::Denied {
             return Selection::Next;
         }
+        if self.is_outdated(version) {
+            // A newer version was named while the request waited.
+            return Selection::Next;
+        }
         let can_take = self.entry.placement.borrow().can_take(key, self.entry.clock.now());
         if !can_take || !self.is_ready(&server) {
             // The server became unavailable, or its room was used up, while the request waited.
@@ -386,6 +390,12 @@
         known.is_some_and(|known| self.entry.availability(known) == Availability::Available)
     }
 
+    /// Returns whether this host knows a newer version of the request's adapter.
+    fn is_outdated(&self, version: Option<u64>) -> bool {
+        let (Some(id), Some(version)) = (self.adapter(), version) else { return false };
+        self.entry.versions.borrow().newer_than(&id, version).is_some()
+    }
+
     fn adapter(&self) -> Option<AdapterId> {
         let model = self.info.model.clone()?;
         self.info.adapter.clone().map(|adapter| AdapterId { model, adapter })
--- a/crates/entry/src/owned_engines.rs
+++ b/crates/entry/src/owned_engines.rs
@@ -220,6 +220,10 @@
                     if !await_prefill_admission(entry, &guard, until, &on_wait).await {
                         return (AdapterStatus::LoadTimedOut, None);
                     }
+                    if owned.scheduler.borrow().is_outdated(&id, version) {
+                        // A newer version was named while the request waited.
+                        continue;
+                    }
                     let running = owned.scheduler.borrow().running_requests();
                     return (AdapterStatus::Granted { version, running }, Some(guard));
                 }
--- a/crates/fleet/src/adapter_scheduler.rs
+++ b/crates/fleet/src/adapter_scheduler.rs
@@ -411,6 +411,11 @@
         *newest = version.max(*newest);
     }
 
+    /// Returns whether a version is older than the newest one of the adapter.
+    pub fn is_outdated(&self, id: &AdapterId, version: u64) -> bool {
+        self.newest_versions.get(id).is_some_and(|newest| version < *newest)
+    }
+
     /// Records that the engine rejected a request because it does not hold the adapter.
     pub fn on_adapter_missing(&mut self, now: Duration) {
         self.fetch_report_at.get_or_insert(now);
