--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -71,6 +71,9 @@
     Ended,
 }
 
+/// Completes when a response that has not begun by then may no longer begin.
+pub(crate) type Outdated = Pin<Box<dyn Future<Output = ()>>>;
+
 /// Returns whether the server ended the response itself.
 type EndCheck = Pin<Box<dyn Future<Output = bool>>>;
 
@@ -176,6 +179,11 @@
                         };
                         self.on_connection_lost(e.to_string(), loss)
                     }
+                    Poll::Pending if self.is_outdated(cx) => {
+                        let detail =
+                            "a newer version of the adapter was named before the first byte";
+                        self.on_server_lost(detail.to_owned())
+                    }
                     Poll::Pending => PollStep::Wait,
                 },
                 Source::Confirming(check) => match check.as_mut().poll(cx) {
@@ -205,9 +213,22 @@
         }
     }
 
+    /// Returns whether the body has not begun, and the version that it would begin on is no longer
+    /// the newest.
+    fn is_outdated(&mut self, cx: &mut Context<'_>) -> bool {
+        let outdated = self.in_flight.as_mut().and_then(|in_flight| in_flight.outdated.as_mut());
+        let is_outdated = outdated.is_some_and(|outdated| outdated.as_mut().poll(cx).is_ready());
+        if let Some(in_flight) = self.in_flight.as_mut().filter(|_| is_outdated) {
+            in_flight.outdated = None;
+            in_flight.entry.metrics.withdrawn.inc();
+        }
+        is_outdated
+    }
+
     fn on_frame(&mut self, frame: Frame<Bytes>) -> PollStep {
-        if let Some(in_flight) = &self.in_flight {
+        if let Some(in_flight) = &mut self.in_flight {
             self.last_bytes_at = in_flight.now();
+            in_flight.outdated = None;
         }
         if let (Media::Events | Media::Unclear, Some(data)) = (self.media, frame.data_ref()) {
             self.scanner.push(data);
@@ -423,6 +444,8 @@
     entry: Rc<EntryState>,
     key: PlacementKey,
     pub(crate) hold: AdapterHold,
+    /// Ends a response that has not begun in time; `None` once it has.
+    pub(crate) outdated: Option<Outdated>,
     /// The request and the server that runs it, once the request was sent.
     pub(crate) run: Option<Run>,
 }
@@ -493,7 +516,8 @@
     /// Counts a request as in flight at the server with this key.
     pub(crate) fn start(entry: &Rc<EntryState>, key: PlacementKey) -> Self {
         entry.placement.borrow_mut().on_request_sent(key);
-        InFlight { entry: entry.clone(), key, hold: AdapterHold::default(), run: None }
+        let hold = AdapterHold::default();
+        InFlight { entry: entry.clone(), key, hold, outdated: None, run: None }
     }
 }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, AccessParams, AdapterHold};
-use crate::body::{CallerBody, ForwardedBody, InFlight, Media};
+use crate::body::{CallerBody, ForwardedBody, InFlight, Media, Outdated};
 use crate::connection_pool::{Framing, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
@@ -239,6 +239,7 @@
                 Attempt::Response(response, mut in_flight) => {
                     hold.on_first_token(self.entry.clock.now());
                     in_flight.hold = hold;
+                    in_flight.outdated = self.outdated(version);
                     progress.version = version;
                     self.remember_software(server.software.as_ref());
                     progress.exclude(&server);
@@ -390,10 +391,16 @@
         known.is_some_and(|known| self.entry.availability(known) == Availability::Available)
     }
 
+    /// Returns a future that completes when a request sent for this version may no longer begin.
+    fn outdated(&self, version: Option<u64>) -> Option<Outdated> {
+        let (id, version, entry) = (self.adapter()?, version?, self.entry.clone());
+        Some(Box::pin(async move { entry.until_outdated(&id, version).await }))
+    }
+
     /// Returns whether this host knows a newer version of the request's adapter.
     fn is_outdated(&self, version: Option<u64>) -> bool {
         let (Some(id), Some(version)) = (self.adapter(), version) else { return false };
-        self.entry.versions.borrow().newer_than(&id, version).is_some()
+        version < self.entry.versions.borrow().newest(&id)
     }
 
     fn adapter(&self) -> Option<AdapterId> {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -48,7 +48,10 @@
             log::warn!("request {id} is sent to server {}, which accepts none", server.id);
         }
         let send = self.send_to(server, version, record);
-        let sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send).await;
+        let sent = tokio::select! {
+            sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send) => sent,
+            () = self.until_outdated(version) => return self.withdraw(attempts, record),
+        };
         let now = self.entry.clock.now();
         let is_not_sent = matches!(&sent, Ok(Err(SendError::NotSent(_))));
         if !is_not_sent {
@@ -113,13 +116,32 @@
         self.classify((key, server), response, &response_info, started, in_flight, record)
     }
 
+    /// Waits until a request that was sent for this version may no longer begin.
+    async fn until_outdated(&self, version: Option<u64>) {
+        match (self.adapter(), version) {
+            (Some(id), Some(version)) => self.entry.until_outdated(&id, version).await,
+            (None, _) | (_, None) => std::future::pending().await,
+        }
+    }
+
+    /// Gives up an attempt that has not begun in time, on a version that is no longer the newest.
+    ///
+    /// The connection closes, upon which the server drops the request from its queue.
+    fn withdraw(&self, attempts: &mut Attempts, record: &mut Record) -> Attempt {
+        attempts.on_sent();
+        self.entry.metrics.withdrawn.inc();
+        let detail = "a newer version of the adapter was named and the request had not begun";
+        record.add_failure(AttemptOutcome::Unknown, detail.to_owned());
+        Attempt::Failed(AttemptOutcome::Unknown, None)
+    }
+
     /// Records that the answer begins on an older version of the adapter than this host knows.
     fn note_old_version(&self, version: Option<u64>, now: Duration, record: &mut Record) {
         let (Some(id), Some(version)) = (self.adapter(), version) else { return };
-        let newer = self.entry.versions.borrow().newer_than(&id, version);
-        let Some(KnownVersion { version: newest, since }) = newer else { return };
+        let newer = self.entry.versions.borrow().first_after(&id, version);
+        let Some(KnownVersion { version: newer, since }) = newer else { return };
         let known_ms = now.saturating_sub(since).as_millis() as u64;
-        record.add(Step::OldVersion { newest, known_ms });
+        record.add(Step::OldVersion { newer, known_ms });
         self.entry.metrics.old_versions.inc();
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -74,6 +74,8 @@
     pub(crate) orders: Counter,
     /// Answers that began on an older version of their adapter than this host knew by then.
     pub(crate) old_versions: Counter,
+    /// Requests withdrawn because they had not begun on a version that is no longer the newest.
+    pub(crate) withdrawn: Counter,
     pub(crate) unreadable_rows: Counter,
     pub(crate) servers_ended: Family<CrashLabels, Counter>,
     pub(crate) contents_held: Gauge,
@@ -132,6 +134,7 @@
             retries_denied: Counter::default(),
             orders: Counter::default(),
             old_versions: Counter::default(),
+            withdrawn: Counter::default(),
             unreadable_rows: Counter::default(),
             servers_ended: Family::default(),
             contents_held: Gauge::default(),
@@ -197,6 +200,11 @@
             "Answers that began on an older version of their adapter than this host knew",
             metrics.old_versions.clone(),
         );
+        registry.register(
+            "withdrawn",
+            "Requests withdrawn from servers because a newer version was named before they began",
+            metrics.withdrawn.clone(),
+        );
         registry.register(
             "unreadable_rows",
             "Store rows that could not be decoded",
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -150,6 +150,7 @@
         catalog: RefCell::new(None),
         limits: watch::Sender::new(RequestLimits::default()),
         versions: RefCell::default(),
+        versions_changed: Notify::new(),
         server_list: RefCell::new(ServerList::default()),
         placement: RefCell::new(new_placement(&cfg)),
         grant_cache: RefCell::new(GrantCache::default()),
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -34,7 +34,7 @@
     Answered { status: u16, took_ms: u64 },
     /// The answer began on an older version of the adapter than this one, which this host has known
     /// for this long.
-    OldVersion { newest: u64, known_ms: u64 },
+    OldVersion { newer: u64, known_ms: u64 },
     /// The attempt ended without a response to forward.
     Failed { outcome: &'static str, detail: String },
     /// The server was lost; the stream resumes on another server after this event.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -42,6 +42,7 @@
     /// The limits in force, which also hold for open connections.
     pub(crate) limits: watch::Sender<RequestLimits>,
     pub(crate) versions: RefCell<AdapterVersions>,
+    pub(crate) versions_changed: Notify,
     pub(crate) server_list: RefCell<ServerList>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) grant_cache: RefCell<GrantCache>,
@@ -182,6 +183,21 @@
         }
         log::info!("version {version} of adapter {}/{} is registered", id.model, id.adapter);
         self.owned_engines.on_new_version(&id, version);
+        self.versions_changed.notify_waiters();
+    }
+
+    /// Waits until a request that was sent for this version of an adapter may no longer begin.
+    pub(crate) async fn until_outdated(&self, id: &AdapterId, version: u64) {
+        loop {
+            let changed = self.versions_changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let begin_by = self.versions.borrow().begin_by(id, version);
+            match begin_by {
+                Some(at) => return tokio::time::sleep(at.saturating_sub(self.clock.now())).await,
+                None => changed.await,
+            }
+        }
     }
 
     /// Applies changes of the server list.
