--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -7,6 +7,7 @@
 //! loaded.
 
 use guavaspread_fleet::{AdapterId, Grant, LoadReport, PlacementKey, Prompt, Server};
+use serde::Serialize;
 
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{AdapterRequest, AdapterStatus};
@@ -25,9 +26,6 @@
 pub(crate) const RESUME_LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time before the deadline that is reserved for running the request.
 const RUN_TIME_RESERVE: Duration = Duration::from_millis(100);
-/// How long the previous version of an adapter may still be used while owners replace it.
-const OLD_VERSION_TTL: Duration = Duration::from_millis(2_500);
-
 /// How long the last grant may be used when the owner does not respond.
 const GRANT_TTL: Duration = Duration::from_secs(5);
 
@@ -66,10 +64,24 @@
     pub(crate) deadline: Duration,
 }
 
+/// What the version of a granted request was decided by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum GrantBasis {
+    /// The engine's owner.
+    Owner,
+    /// The last grant of an owner that does not respond.
+    LastGrant,
+    /// The engine's row in the server list, while its owner does not respond.
+    ServerList,
+}
+
 /// The result of an access request.
 pub(crate) enum Access {
-    /// The request may be sent, for this version of the adapter if one is known.
-    Granted(Option<u64>, AdapterHold),
+    /// The request may be sent, for this version of the adapter.
+    Granted(u64, GrantBasis, AdapterHold),
+    /// The request names no adapter and may be sent.
+    NoAdapter,
     /// The request may not be sent.
     Denied,
     /// The engine's owner does not respond or released it; an adapter may be loaded there after this
@@ -93,14 +105,14 @@
 ) -> Access {
     let now = entry.clock.now();
     let AccessParams { id, prompt, was_refused, may_fetch, load_timeout, deadline } = params;
-    let (newest, version_min) = versions(entry, id, now);
+    let version_min = entry.versions.borrow().newest(id);
     let load_wait = deadline.saturating_sub(now + RUN_TIME_RESERVE).min(load_timeout);
     let request = AdapterRequest {
         request_id: 0,
         engine: server.id.to_string(),
         model: id.model.to_string(),
         adapter: id.adapter.to_string(),
-        version_min: newest,
+        version_min,
         load_wait_ms: load_wait.as_millis() as u32,
         was_refused,
         may_fetch,
@@ -126,7 +138,7 @@
             let now = entry.clock.now();
             let grant = Grant { version, expires_at: now + GRANT_TTL };
             entry.grant_cache.borrow_mut().insert(server.id.clone(), id.clone(), grant, now);
-            Access::Granted(Some(version), hold)
+            Access::Granted(version, GrantBasis::Owner, hold)
         }
         Some((
             AdapterStatus::Loading | AdapterStatus::LoadTimedOut | AdapterStatus::Unavailable,
@@ -139,15 +151,6 @@
     }
 }
 
-/// Returns the newest version of an adapter and the oldest version that may still be used.
-fn versions(entry: &EntryState, id: &AdapterId, now: Duration) -> (u64, u64) {
-    match entry.versions.borrow().get(id) {
-        Some(known) if now >= known.since + OLD_VERSION_TTL => (known.version, known.version),
-        Some(known) => (known.version, 0),
-        None => (0, 0),
-    }
-}
-
 async fn request_from_owner(
     entry: &Rc<EntryState>,
     server: &Arc<Server>,
@@ -179,6 +182,9 @@
 }
 
 /// Decides without the owner, by the last grant or else by the server list, which lags.
+///
+/// A version below `version_min` is not accepted: a host that has just started, or that was
+/// partitioned, can't tell how long ago the newer one was named.
 fn decide_without_owner(
     entry: &EntryState,
     server: &Arc<Server>,
@@ -187,14 +193,16 @@
 ) -> Access {
     let now = entry.clock.now();
     if let Some(grant) = entry.grant_cache.borrow().get(&server.id, id, version_min, now) {
-        return Access::Granted(Some(grant.version), AdapterHold::default());
+        return Access::Granted(grant.version, GrantBasis::LastGrant, AdapterHold::default());
     }
     let server_list = entry.server_list.borrow();
     let current = server_list.get(&server.id).unwrap_or(server);
     let with_model = current.models.iter().filter(|model| model.name == id.model);
     let mut adapters = with_model.flat_map(|model| model.adapters.iter());
     match adapters.find(|a| a.name == id.adapter && a.version >= version_min) {
-        Some(adapter) => Access::Granted(Some(adapter.version), AdapterHold::default()),
+        Some(adapter) => {
+            Access::Granted(adapter.version, GrantBasis::ServerList, AdapterHold::default())
+        }
         None => denied(entry, server),
     }
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::access::{self, Access, AccessParams, AdapterHold};
-use crate::body::{CallerBody, ForwardedBody, InFlight, Media};
+use crate::body::{CallerBody, ForwardedBody, InFlight, Media, Outdated};
 use crate::connection_pool::{Framing, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
@@ -239,6 +239,7 @@
                 Attempt::Response(response, mut in_flight) => {
                     hold.on_first_token(self.entry.clock.now());
                     in_flight.hold = hold;
+                    in_flight.outdated = self.outdated(version);
                     progress.version = version;
                     self.remember_software(server.software.as_ref());
                     progress.exclude(&server);
@@ -293,7 +294,8 @@
         let ((key, server), access) =
             self.acquire_adapter(candidate, progress, &excluded, record).await;
         let (version, hold) = match access {
-            Access::Granted(version, hold) => (version, hold),
+            Access::Granted(version, _, hold) => (Some(version), hold),
+            Access::NoAdapter => (None, AdapterHold::default()),
             Access::LoadTooLate(wait) => {
                 return Selection::None(not_loaded(&progress.attempts, wait));
             }
@@ -325,6 +327,10 @@
         if !has_permit && self.acquire_permit(&server, progress, record).await == Permit::Denied {
             return Selection::Next;
         }
+        if self.is_outdated(version) {
+            // A newer version was named while the request waited.
+            return Selection::Next;
+        }
         let can_take = self.entry.placement.borrow().can_take(key, self.entry.clock.now());
         if !can_take || !self.is_ready(&server) {
             // The server became unavailable, or its room was used up, while the request waited.
@@ -385,6 +391,18 @@
         known.is_some_and(|known| self.entry.availability(known) == Availability::Available)
     }
 
+    /// Returns a future that completes when a request sent for this version may no longer begin.
+    fn outdated(&self, version: Option<u64>) -> Option<Outdated> {
+        let (id, version, entry) = (self.adapter()?, version?, self.entry.clone());
+        Some(Box::pin(async move { entry.until_outdated(&id, version).await }))
+    }
+
+    /// Returns whether this host knows a newer version of the request's adapter.
+    fn is_outdated(&self, version: Option<u64>) -> bool {
+        let (Some(id), Some(version)) = (self.adapter(), version) else { return false };
+        version < self.entry.versions.borrow().newest(&id)
+    }
+
     fn adapter(&self) -> Option<AdapterId> {
         let model = self.info.model.clone()?;
         self.info.adapter.clone().map(|adapter| AdapterId { model, adapter })
@@ -436,7 +454,7 @@
         record: &mut Record,
     ) -> Access {
         let Some(id) = self.adapter() else {
-            return Access::Granted(None, AdapterHold::default());
+            return Access::NoAdapter;
         };
         let started = self.entry.clock.now();
         let prompt = Prompt {
@@ -456,17 +474,18 @@
         let access = access::request(&self.entry, (key, server), params).await;
         let elapsed = self.entry.clock.now().saturating_sub(started);
         if elapsed > Duration::ZERO {
-            let version = match &access {
-                Access::Granted(version, _) => *version,
-                Access::Denied
+            let (version, by) = match &access {
+                Access::Granted(version, basis, _) => (Some(*version), Some(*basis)),
+                Access::NoAdapter
+                | Access::Denied
                 | Access::OwnerLost(_)
                 | Access::FetchRequired
                 | Access::LoadTooLate(_)
                 | Access::Full
-                | Access::NotFound => None,
+                | Access::NotFound => (None, None),
             };
             let took_ms = elapsed.as_millis() as u64;
-            record.add(Step::Asked { server: server.id.clone(), version, took_ms });
+            record.add(Step::Asked { server: server.id.clone(), version, by, took_ms });
             self.entry.metrics.load_wait_seconds.observe(elapsed.as_secs_f64());
         }
         access
--- a/crates/entry/src/owned_engines.rs
+++ b/crates/entry/src/owned_engines.rs
@@ -220,6 +220,10 @@
                     if !await_prefill_admission(entry, &guard, until, &on_wait).await {
                         return (AdapterStatus::LoadTimedOut, None);
                     }
+                    if owned.scheduler.borrow().is_outdated(&id, version) {
+                        // A newer version was named while the request waited.
+                        continue;
+                    }
                     let running = owned.scheduler.borrow().running_requests();
                     return (AdapterStatus::Granted { version, running }, Some(guard));
                 }
@@ -366,8 +370,8 @@
     let loaded = server.models.first().map(|loaded| loaded.name.clone());
     let model = loaded.or_else(|| spec.models.first().map(|model| model.name.clone()))?;
     let mut scheduler = AdapterScheduler::new(spec, model);
-    for (id, known) in entry.versions.borrow().iter() {
-        scheduler.on_new_version(id, known.version);
+    for (id, version) in entry.versions.borrow().iter() {
+        scheduler.on_new_version(id, version);
     }
     Some(scheduler)
 }
