--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
-use guavaspread_fleet::QuotaTolerance;
+use guavaspread_fleet::{OLD_VERSION_BEGIN_TIMEOUT, QuotaTolerance};
 use serde::Deserialize;
 
 use crate::prelude::*;
@@ -42,6 +42,10 @@
     /// milliseconds.
     #[serde(default = "default_contact_ms")]
     pub contact_ms: u64,
+    /// How long after a version of an adapter was named a request may begin on an older one, in
+    /// milliseconds.
+    #[serde(default = "default_version_ms")]
+    pub version_ms: u64,
     /// Whether a host that can't know of keys that were taken away refuses requests with keys.
     #[serde(default)]
     pub strict_revoke: bool,
@@ -87,6 +91,15 @@
 /// The shortest time for the interval between two reads of a feed and the wait of a read, in
 /// milliseconds. With less, the hosts would read without a pause.
 const FEED_CYCLE_MIN_MS: u64 = 800;
+/// Time for the withdrawal of a request to reach its engine, in milliseconds.
+const WITHDRAWAL_MS: u64 = 300;
+/// What of `version-ms` is not the cycle of reads: the noticing of a silent channel, the time in which
+/// requests may begin, and their withdrawal.
+const VERSION_REST_MS: u64 = STORE_READ_TIMEOUT_MS
+    + STORE_CATCH_UP_MS
+    + OLD_VERSION_BEGIN_TIMEOUT.as_millis() as u64
+    + WITHDRAWAL_MS;
+const VERSION_MIN_MS: u64 = FEED_CYCLE_MIN_MS + VERSION_REST_MS;
 const CONTACT_MIN_MS: u64 = FEED_CYCLE_MIN_MS + STORE_READ_TIMEOUT_MS + STORE_CATCH_UP_MS;
 
 /// Longest graceful shutdown, in seconds. A time that no duration holds would end the process when
@@ -97,6 +110,10 @@
     3_000
 }
 
+fn default_version_ms() -> u64 {
+    5_000
+}
+
 fn default_zone_crossing_cost() -> f64 {
     0.2
 }
@@ -172,6 +189,13 @@
         Duration::from_millis(self.contact_ms.saturating_sub(rest_ms))
     }
 
+    /// Returns the longest interval between two reads of the feed with the versions of adapters, with
+    /// which no request begins on an older version later than `version-ms`.
+    pub(crate) fn version_cycle_max(&self) -> Duration {
+        let cycle_max = Duration::from_millis(self.version_ms.saturating_sub(VERSION_REST_MS));
+        cycle_max.min(self.feed_cycle_max())
+    }
+
     /// Returns how far quotas may be exceeded.
     pub(crate) fn quota_tolerance(&self) -> QuotaTolerance {
         QuotaTolerance {
@@ -209,6 +233,9 @@
         if self.contact_ms < CONTACT_MIN_MS {
             return Some(("contact-ms", "must be at least 2000"));
         }
+        if self.version_ms < VERSION_MIN_MS {
+            return Some(("version-ms", "must be at least 3800"));
+        }
         let tolerances = [
             ("zone-crossing-cost", self.zone_crossing_cost),
             ("quota-window-s", self.quota_window_s),
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -123,7 +123,11 @@
             FeedTiming { interval: ms(interval), wait: ms(cfg.drain_ms) }
         }
     };
-    usual.bounded(cfg.feed_cycle_max(), FEED_WAIT_MIN)
+    let cycle_max = match feed {
+        Feed::Control => cfg.version_cycle_max(),
+        Feed::Servers | Feed::StreamVersions => cfg.feed_cycle_max(),
+    };
+    usual.bounded(cycle_max, FEED_WAIT_MIN)
 }
 
 /// Applies rows of a feed that this host read or a watcher relayed.
--- a/crates/fleet/src/adapter_versions.rs
+++ b/crates/fleet/src/adapter_versions.rs
@@ -9,11 +9,8 @@
 use crate::server_list::AdapterId;
 
 /// How long after this host learned of a version a request that was sent for an older one may still
-/// begin.
-///
-/// The users allow 5 s from the acknowledgement of the version. A host whose reads of the store work
-/// learns of it within `apply-ms` (2 s); what is left covers the way to the engine and the withdrawal.
-const BEGIN_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// begin. With less, requests are withdrawn that an engine under load would still begin.
+pub const OLD_VERSION_BEGIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Versions of one adapter that are told apart.
 const VERSIONS_PER_ADAPTER_MAX: usize = 8;
 
@@ -62,7 +59,7 @@
     /// Returns until when a request that was sent for `version` may begin; `None` while no newer
     /// version is known.
     pub fn begin_by(&self, id: &AdapterId, version: u64) -> Option<Duration> {
-        self.first_after(id, version).map(|newer| newer.since + BEGIN_TIMEOUT)
+        self.first_after(id, version).map(|newer| newer.since + OLD_VERSION_BEGIN_TIMEOUT)
     }
 
     /// Lists the newest version of each adapter.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -80,7 +80,7 @@
 mod watch;
 
 pub use adapter_scheduler::AdapterScheduler;
-pub use adapter_versions::{AdapterVersions, KnownVersion};
+pub use adapter_versions::{AdapterVersions, KnownVersion, OLD_VERSION_BEGIN_TIMEOUT};
 pub use attempts::{AttemptOutcome, Attempts, RetryDecision};
 pub use backoff::Backoff;
 pub use caller_connection::{CallerConnection, ConnectionAction};
