--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -4,8 +4,8 @@
 
 use eyre::{Context, Result};
 use guavaspread_fleet::{
-    GrantCache, LeaseManager, LeaseTimes, Placement, RequestLimits, RetryShares, ServerList,
-    StopAction, StopSchedule,
+    EventBuffers, GrantCache, LeaseManager, LeaseTimes, Placement, RequestLimits, RetryShares,
+    ServerList, StopAction, StopSchedule,
 };
 use guavaspread_model::content_hash;
 use http::StatusCode;
@@ -166,6 +166,7 @@
         announced_hosts: RefCell::default(),
         permit_issuer: RefCell::default(),
         crash_gossip: CrashGossip::default(),
+        event_buffers: EventBuffers::default(),
         retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
         stop: Cell::default(),
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -47,7 +47,7 @@
     /// Prepares to resume a stream whose first response had these headers.
     pub(crate) fn new(call: Call, progress: Progress, headers: &HeaderMap) -> Self {
         let last_id = call.head.headers.get(LAST_EVENT_ID).and_then(|id| id.to_str().ok());
-        let events = EventFramer::after(last_id);
+        let events = EventFramer::after(last_id).sharing(&call.entry.event_buffers);
         let has_declared_type = headers.contains_key(header::CONTENT_TYPE);
         Resumer { call, progress, events, has_declared_type }
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use guavaspread_fleet::{
-    AdapterId, AdapterVersions, Availability, Catalog, CrashDetector, Departures, GrantCache,
-    HostLease, LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer, Placement,
-    Quarantine, RejectionNotice, RequestLimits, RetryShares, Server, ServerChange, ServerCrash,
-    ServerList, ServerNotice, StopSchedule, revision_era,
+    AdapterId, AdapterVersions, Availability, Catalog, CrashDetector, Departures, EventBuffers,
+    GrantCache, HostLease, LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer,
+    Placement, Quarantine, RejectionNotice, RequestLimits, RetryShares, Server, ServerChange,
+    ServerCrash, ServerList, ServerNotice, StopSchedule, revision_era,
 };
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
@@ -59,6 +59,8 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crash_gossip: CrashGossip,
     pub(crate) retry_shares: RefCell<RetryShares>,
+    /// What the streams of this host buffer of incomplete events.
+    pub(crate) event_buffers: EventBuffers,
     /// When the list of hosts was last read for another purpose than a lease.
     pub(crate) hosts_read_at: Cell<Option<Duration>>,
     /// Hosts that announced themselves as coordinators since the leases were last read.
--- a/crates/fleet/src/event_framer.rs
+++ b/crates/fleet/src/event_framer.rs
@@ -3,6 +3,9 @@
 //! When a server is lost during a stream, another server continues after the last complete event.
 //! The caller must therefore never receive part of an event.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::event_scanner::{EventScanner, StreamPosition};
@@ -10,13 +13,46 @@
 /// Limit of the buffered part of an event. A stream with a larger event is forwarded unbuffered and
 /// can't be resumed; otherwise an endless event would grow the buffer without limit.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
+/// Limit of the buffered parts of all events of a process. Beyond it, a stream is forwarded unbuffered
+/// as one with a larger event.
+const SHARED_BYTES_MAX: usize = 8 * 1024 * 1024;
 const ID_FIELD: &[u8] = b"id:";
 
+/// Counts the bytes that the streams of a process buffer together.
+#[derive(Clone, Debug, Default)]
+pub struct EventBuffers {
+    used: Rc<Cell<usize>>,
+}
+
+/// The part of one stream in the bytes that all streams buffer.
+#[derive(Debug, Default)]
+struct BufferShare {
+    all: EventBuffers,
+    bytes: usize,
+}
+
+impl BufferShare {
+    /// Records how many bytes the stream buffers; returns whether there is room for them.
+    fn set(&mut self, bytes: usize) -> bool {
+        let used = self.all.used.get() - self.bytes + bytes;
+        self.bytes = bytes;
+        self.all.used.set(used);
+        used <= SHARED_BYTES_MAX
+    }
+}
+
+impl Drop for BufferShare {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 /// Forwards complete events and remembers the id of the last one.
 #[derive(Debug, Default)]
 pub struct EventFramer {
     scanner: EventScanner,
     buffered: BytesMut,
+    share: BufferShare,
     last_id: Option<String>,
     has_events: bool,
     is_passthrough: bool,
@@ -57,9 +93,21 @@
         EventFramer { order, ..EventFramer::default() }
     }
 
+    /// Counts what this stream buffers among the buffers of the process.
+    pub fn sharing(mut self, all: &EventBuffers) -> Self {
+        self.share = BufferShare { all: all.clone(), bytes: 0 };
+        self
+    }
+
     /// Adds received bytes and returns the events that they complete; `None` if these do not follow
     /// the events of the previous server.
     pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        let forwarded = self.forward(bytes);
+        self.share.set(self.buffered.len());
+        forwarded
+    }
+
+    fn forward(&mut self, bytes: &Bytes) -> Option<Bytes> {
         let end = self.scanner.push(bytes);
         if self.is_passthrough {
             return Some(bytes.clone());
@@ -70,7 +118,8 @@
         let buffered = self.buffered.len();
         self.buffered.extend_from_slice(bytes);
         let Some(end) = end else {
-            if self.buffered.len() <= BUFFERED_BYTES_MAX {
+            let has_room = self.share.set(self.buffered.len());
+            if has_room && self.buffered.len() <= BUFFERED_BYTES_MAX {
                 return Some(Bytes::new());
             }
             self.is_passthrough = true;
@@ -82,12 +131,14 @@
 
     /// Returns the buffered bytes at the end of the stream.
     pub fn finish(&mut self) -> Bytes {
+        self.share.set(0);
         self.buffered.split().freeze()
     }
 
     /// Discards a partial event, which another server sends again.
     pub fn discard_partial(&mut self) {
         self.buffered.clear();
+        self.share.set(0);
         self.scanner = EventScanner::default();
         self.order.is_resuming = self.order.last.is_some();
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -92,7 +92,7 @@
 };
 pub use engine_command::{CommandKind, CommandResult, EngineCommand, Readiness, SchedulerStep};
 pub use engine_reach::{CallOutcome, EngineReach, Reach};
-pub use event_framer::EventFramer;
+pub use event_framer::{EventBuffers, EventFramer};
 pub use event_scanner::{EventScanner, StreamPosition};
 pub use feed_timing::FeedTiming;
 pub use grant_cache::{Grant, GrantCache};
--- a/crates/fleet/tests/event_framer.rs
+++ b/crates/fleet/tests/event_framer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use guavaspread_fleet::StreamPosition::{self, BetweenEvents, InsideEvent, Start};
-use guavaspread_fleet::{EventFramer, EventScanner};
+use guavaspread_fleet::{EventBuffers, EventFramer, EventScanner};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -92,6 +92,34 @@
     assert_eq!(framer.push(&chunk), Some(chunk));
 }
 
+/// Guards against streams that each stay below the limit of an event and together take all memory.
+#[test]
+fn many_incomplete_events_share_one_limit() {
+    const STREAMS: usize = 4_000;
+    const TOTAL_MAX: usize = 16 * 1_024 * 1_024;
+    let all = EventBuffers::default();
+    let chunk = Bytes::from(vec![b'x'; 30_000]);
+    let mut framers: Vec<EventFramer> =
+        (0..STREAMS).map(|_| EventFramer::default().sharing(&all)).collect();
+    let mut buffered = 0;
+    for framer in &mut framers {
+        buffered += chunk.len() - framer.push(&chunk).unwrap().len();
+    }
+    assert!(buffered <= TOTAL_MAX, "{buffered} bytes are buffered");
+    assert!(framers[0].can_resume() && !framers[STREAMS - 1].can_resume());
+    // Complete, discarded and dropped events make room again.
+    framers[0].push(&Bytes::from_static(b"\n\n")).unwrap();
+    framers[1].discard_partial();
+    framers[2].finish();
+    framers.remove(3);
+    for _ in 0..4 {
+        let mut further = EventFramer::default().sharing(&all);
+        assert!(further.push(&chunk).unwrap().is_empty());
+        framers.push(further);
+    }
+    assert_eq!(EventFramer::default().sharing(&all).push(&chunk), Some(chunk));
+}
+
 #[test_case(&[] => Start; "nothing")]
 #[test_case(&[": a comment\n\n"] => Start; "a comment")]
 #[test_case(&["data: a\n\n"] => between(1); "one event")]
