--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -49,6 +49,7 @@
         }
         let send = self.send_to(server, version, record);
         let sent = tokio::select! {
+            biased;
             sent = tokio::time::timeout(remaining + RESPONSE_DEADLINE_MARGIN, send) => sent,
             () = self.until_outdated(version) => return self.withdraw(attempts, record),
         };
--- a/crates/entry/src/owned_engines.rs
+++ b/crates/entry/src/owned_engines.rs
@@ -306,17 +306,19 @@
     owned: Rc<OwnedEngine>,
     id: AdapterId,
     prompt: PromptKey,
+    has_begun: Cell<bool>,
 }
 
 impl AdapterGuard {
     fn start(owned: &Rc<OwnedEngine>, id: &AdapterId, prompt: Prompt) -> Self {
         owned.scheduler.borrow_mut().acquire(id);
         let prompt = owned.prefill_queue.borrow_mut().enqueue(prompt);
-        AdapterGuard { owned: owned.clone(), id: id.clone(), prompt }
+        AdapterGuard { owned: owned.clone(), id: id.clone(), prompt, has_begun: Cell::new(false) }
     }
 
     /// Records that the first token has arrived, which ends the prefill of the prompt.
     pub(crate) fn on_first_token(&self, now: Duration) {
+        self.has_begun.set(true);
         self.owned.prefill_queue.borrow_mut().on_first_token(self.prompt, now);
         self.owned.prefill_changed.notify_waiters();
     }
@@ -324,7 +326,12 @@
 
 impl Drop for AdapterGuard {
     fn drop(&mut self) {
-        self.owned.scheduler.borrow_mut().release(&self.id);
+        let mut scheduler = self.owned.scheduler.borrow_mut();
+        scheduler.release(&self.id);
+        if !self.has_begun.get() {
+            scheduler.on_withdrawn(&self.id);
+        }
+        drop(scheduler);
         self.owned.prefill_queue.borrow_mut().remove(self.prompt);
         self.owned.requests_changed.notify_one();
         self.owned.prefill_changed.notify_waiters();
--- a/crates/fleet/src/adapter_scheduler.rs
+++ b/crates/fleet/src/adapter_scheduler.rs
@@ -9,6 +9,8 @@
 mod command_results;
 mod next_command;
 
+use std::collections::HashSet;
+
 use guavaspread_placement::DemandMap;
 
 use crate::catalog::EngineSpec;
@@ -143,6 +145,8 @@
     running_requests: u32,
     load_requests: HashMap<AdapterId, LoadRequest>,
     newest_versions: HashMap<AdapterId, u64>,
+    /// Adapters whose older version a request may still wait for that was withdrawn.
+    withdrawn: HashSet<AdapterId>,
     /// Adapters that do not exist according to the engine, and when this expires.
     not_found: HashMap<AdapterId, Duration>,
     demand: DemandMap<AdapterId>,
@@ -179,6 +183,7 @@
             running_requests: 0,
             load_requests: HashMap::new(),
             newest_versions: HashMap::new(),
+            withdrawn: HashSet::new(),
             not_found: HashMap::new(),
             demand: DemandMap::new(DEMAND_HALF_LIFE, DEMAND_ENTRIES_MAX),
             recently_unloaded: std::collections::VecDeque::new(),
@@ -411,6 +416,16 @@
         *newest = version.max(*newest);
     }
 
+    /// Records the end of a request that had not begun.
+    ///
+    /// An engine may keep such a request although its connection is closed. If its version is not the
+    /// newest any more, the adapter is unloaded, upon which the engine refuses the request.
+    pub fn on_withdrawn(&mut self, id: &AdapterId) {
+        if self.slots.get(id).is_some_and(|slot| self.is_outdated(id, slot.version)) {
+            self.withdrawn.insert(id.clone());
+        }
+    }
+
     /// Returns whether a version is older than the newest one of the adapter.
     pub fn is_outdated(&self, id: &AdapterId, version: u64) -> bool {
         self.newest_versions.get(id).is_some_and(|newest| version < *newest)
--- a/crates/fleet/src/adapter_scheduler/command_results.rs
+++ b/crates/fleet/src/adapter_scheduler/command_results.rs
@@ -182,7 +182,11 @@
             }
             CommandKind::Unload { adapter } => {
                 let id = AdapterId { model: command.model.clone(), adapter: adapter.clone() };
-                self.slots.remove(&id);
+                let slot = self.slots.remove(&id);
+                if slot.is_some_and(|slot| self.is_outdated(&id, slot.version)) {
+                    // The engine has to fetch the newer version.
+                    return;
+                }
                 self.recently_unloaded.push_back(id);
                 if self.recently_unloaded.len() > CACHED_ADAPTERS_MAX {
                     self.recently_unloaded.pop_front();
--- a/crates/fleet/src/adapter_scheduler/next_command.rs
+++ b/crates/fleet/src/adapter_scheduler/next_command.rs
@@ -21,6 +21,9 @@
         if let Some(kind) = self.next_poll(now) {
             return Ok(kind);
         }
+        if let Some(adapter) = self.next_withdrawn() {
+            return Ok(CommandKind::Unload { adapter });
+        }
         match self.next_load(now) {
             Some(kind) => Ok(kind),
             None => Err(self.next_poll_at()),
@@ -113,6 +116,18 @@
         least_demanded.map(|(id, _)| id.adapter.clone())
     }
 
+    /// Returns an idle adapter whose older version a withdrawn request may still wait for.
+    fn next_withdrawn(&mut self) -> Option<Arc<str>> {
+        let (slots, newest) = (&self.slots, &self.newest_versions);
+        self.withdrawn
+            .retain(|id| slots.get(id).is_some_and(|slot| newest.get(id) > Some(&slot.version)));
+        let is_idle = |id: &&AdapterId| {
+            let is_ready = slots.get(*id).is_some_and(|slot| slot.state == SlotState::Ready);
+            is_ready && !self.use_counts.contains_key(*id)
+        };
+        self.withdrawn.iter().find(is_idle).map(|id| id.adapter.clone())
+    }
+
     fn next_poll_at(&self) -> Option<Duration> {
         let poll_times = self.slots.values().filter_map(|slot| match slot.state {
             SlotState::Ready => None,
