--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -181,8 +181,8 @@
                     }
                     Poll::Pending if self.is_outdated(cx) => {
                         let detail =
-                            "a newer version of the adapter was named before the first byte";
-                        self.on_server_lost(detail.to_owned())
+                            "a newer version of the adapter was named before the first event";
+                        self.on_outdated(detail.to_owned())
                     }
                     Poll::Pending => PollStep::Wait,
                 },
@@ -226,13 +226,16 @@
     }
 
     fn on_frame(&mut self, frame: Frame<Bytes>) -> PollStep {
-        if let Some(in_flight) = &mut self.in_flight {
+        if let Some(in_flight) = &self.in_flight {
             self.last_bytes_at = in_flight.now();
-            in_flight.outdated = None;
         }
         if let (Media::Events | Media::Unclear, Some(data)) = (self.media, frame.data_ref()) {
             self.scanner.push(data);
         }
+        let has_begun = self.position() != Some(StreamPosition::Start);
+        if let Some(in_flight) = self.in_flight.as_mut().filter(|_| has_begun) {
+            in_flight.outdated = None;
+        }
         let is_end = matches!(&self.source, Source::Server(body) if body.is_end_stream());
         if let Some(detail) = self.broken_off().filter(|_| is_end) {
             // With the last bytes, the caller would have the length announced.
@@ -332,6 +335,14 @@
         self.resume_or_abort()
     }
 
+    /// Handles a response that has not begun in time, though its server may be sound.
+    fn on_outdated(&mut self, detail: String) -> PollStep {
+        if let Some(record) = &mut self.record {
+            record.add_failure(AttemptOutcome::Unknown, detail);
+        }
+        self.resume_or_abort()
+    }
+
     fn resume_or_abort(&mut self) -> PollStep {
         let now = self.in_flight.take().map_or(self.last_bytes_at, |in_flight| in_flight.now());
         match (self.resumer.take(), self.record.take()) {
