--- a/crates/entry/src/lease_renewal.rs
+++ b/crates/entry/src/lease_renewal.rs
@@ -74,7 +74,10 @@
                     return Err(StoreError::OtherEra);
                 }
                 entry.leases.borrow_mut().on_lease_summary(&lease_summary, entry.clock.now());
-                entry.on_holder_count(lease_summary.holder_count);
+                // A delegate of an earlier build does not state the number.
+                if lease_summary.holder_count > 0 {
+                    entry.on_holder_count(lease_summary.holder_count);
+                }
                 return Ok(WriteOutcome::Done { revision, store_time_ms });
             }
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,7 +31,7 @@
 mod lease_renewal;
 mod metrics;
 mod owned_engines;
-mod peer_message;
+pub mod peer_message;
 mod peer_server;
 mod peers;
 mod platform;
--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -3,6 +3,13 @@
 //! A host with a request for an adapter sends it to the owner of the engine. Messages are encoded
 //! with postcard in length-delimited frames. Several requests may be in flight on a connection;
 //! an id links each reply to its request.
+//!
+//! Hosts of two builds run side by side during an upgrade (docs/design/two-builds.md). Postcard
+//! encodes positions only, so variants and fields are only ever appended:
+//!
+//! - a variant, at the end of its enum.
+//! - a field, as the last of the whole message, decoded with
+//!   [`appended`](guavaspread_fleet::appended).
 
 use guavaspread_fleet::{
     ContentReport, HostLease, LeaseSummary, LimitReport, PermitDecision, PermitRequest,
--- a/crates/fleet/src/lease/rows.rs
+++ b/crates/fleet/src/lease/rows.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::appended_field::appended;
 use crate::prelude::*;
 use crate::quarantine::ContentReport;
 use crate::revision::{ERA_MAX, revision_era};
@@ -189,7 +190,8 @@
     /// The hosts whose leases the summary leaves out; `until_ms` does not apply to them.
     pub except: Vec<Arc<str>>,
     /// The number of live hosts. A host that does not read the table knows only those that had
-    /// started before it.
+    /// started before it. 0 if the sender does not state it.
+    #[serde(deserialize_with = "appended")]
     pub holder_count: usize,
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -44,6 +44,7 @@
 
 mod adapter_scheduler;
 mod adapter_versions;
+mod appended_field;
 mod attempts;
 mod backoff;
 mod caller_connection;
@@ -81,6 +82,7 @@
 
 pub use adapter_scheduler::AdapterScheduler;
 pub use adapter_versions::{AdapterVersions, KnownVersion};
+pub use appended_field::appended;
 pub use attempts::{AttemptOutcome, Attempts, RetryDecision};
 pub use backoff::Backoff;
 pub use caller_connection::{CallerConnection, ConnectionAction};
