--- a/crates/entry/src/feed_relay.rs
+++ b/crates/entry/src/feed_relay.rs
@@ -1,6 +1,6 @@
 //! Relays the store's feeds from the watchers of a zone to its other entry hosts.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use futures::{SinkExt, StreamExt};
 use guavaspread_fleet::{
@@ -11,7 +11,7 @@
 use tokio_util::codec::Framed;
 
 use crate::connection_pool::connect;
-use crate::peer_message::{FeedUpdate, PeerRequest, PeerResponse};
+use crate::peer_message::{FEED_FORMAT, FeedUpdate, PeerRequest, PeerResponse};
 use crate::peers::{codec, frame};
 use crate::platform::{Feed, FeedBatch, FeedRow};
 use crate::prelude::*;
@@ -23,6 +23,12 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between selections of the watchers to follow.
 const WATCHER_SELECTION_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a watcher that refused this host is not asked again. A watcher that restarts with
+/// another build is followed at the latest after this time; until then this host reads the store.
+const REFUSAL_TTL: Duration = Duration::from_secs(10);
+/// Interval between two log lines on the refusals of one follower. Followers of earlier builds ask
+/// once a second.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// How long a watcher's call for changes of a feed may wait in the store.
 pub(crate) const CONTROL_FEED_WAIT: Duration = Duration::from_millis(700);
 /// Interval between a watcher's reads of the servers feed.
@@ -63,6 +69,10 @@
     feeds: [RelayedFeed; 3],
     relayed_servers: RefCell<RelayedServers>,
     updates: broadcast::Sender<Bytes>,
+    /// When watchers refused this host.
+    refused_at: RefCell<HashMap<SocketAddr, Duration>>,
+    /// When a refusal of each follower was last logged.
+    refusal_logged_at: RefCell<HashMap<IpAddr, Duration>>,
 }
 
 impl Default for FeedRelay {
@@ -71,6 +81,8 @@
             feeds: Default::default(),
             relayed_servers: RefCell::default(),
             updates: broadcast::Sender::new(FOLLOWER_LAG_MAX),
+            refused_at: RefCell::default(),
+            refusal_logged_at: RefCell::default(),
         }
     }
 }
@@ -192,6 +204,35 @@
         }
     }
 
+    /// Counts and logs a follower with another feed format.
+    pub(crate) fn on_follower_refused(&self, entry: &EntryState, follower: IpAddr) {
+        entry.metrics.refused_followers.inc();
+        let now = entry.clock.now();
+        let mut logged_at = self.refusal_logged_at.borrow_mut();
+        logged_at.retain(|_, at| now < *at + REFUSAL_LOG_INTERVAL);
+        if logged_at.contains_key(&follower) {
+            return;
+        }
+        logged_at.insert(follower, now);
+        log::info!(
+            "the host at {follower} can't follow this one: its feed format is not {FEED_FORMAT}; it \
+             reads the store itself"
+        );
+    }
+
+    /// Records that a watcher refused this host.
+    fn on_refused(&self, watcher: SocketAddr, now: Duration) {
+        self.refused_at.borrow_mut().insert(watcher, now);
+    }
+
+    /// Returns the watchers that may be asked for their feeds.
+    fn without_refusing(&self, mut watchers: Vec<SocketAddr>, now: Duration) -> Vec<SocketAddr> {
+        let mut refused_at = self.refused_at.borrow_mut();
+        refused_at.retain(|_, at| now < *at + REFUSAL_TTL);
+        watchers.retain(|watcher| !refused_at.contains_key(watcher));
+        watchers
+    }
+
     fn remove_watcher(&self, watcher: SocketAddr) {
         for feed in FEEDS {
             self.feed(feed).freshness.borrow_mut().on_disconnected(watcher);
@@ -275,6 +316,7 @@
         let ranked = zone_watchers(&zone, entry.leases.borrow().live_hosts(now));
         let is_fresh = |watcher| entry.feed_relay.is_watcher_fresh(watcher, now);
         let chosen = watchers_to_follow(ranked, &entry.holder, is_fresh);
+        let chosen = entry.feed_relay.without_refusing(chosen, now);
         following.retain(|address, task| {
             let is_kept = !task.is_finished() && chosen.contains(address);
             if !is_kept {
@@ -291,22 +333,51 @@
     }
 }
 
+/// How the connection to a watcher ended.
+enum FollowEnd {
+    /// There was no connection, or it broke off after updates.
+    Lost,
+    /// The watcher closed the connection without an update, or sent what this host can't decode: its
+    /// feed format differs.
+    Refused,
+}
+
 async fn follow_watcher(entry: Rc<EntryState>, address: SocketAddr) {
+    let end = receive_updates(&entry, address).await;
+    entry.feed_relay.remove_watcher(address);
+    match end {
+        FollowEnd::Lost => log::info!("the connection to watcher {address} ended"),
+        FollowEnd::Refused => {
+            log::warn!(
+                "watcher {address} does not relay feeds of format {FEED_FORMAT}; reading the store \
+                 unless another watcher does, will ask again in {} s",
+                REFUSAL_TTL.as_secs()
+            );
+            entry.feed_relay.on_refused(address, entry.clock.now());
+        }
+    }
+}
+
+/// Applies a watcher's updates until the connection ends.
+async fn receive_updates(entry: &Rc<EntryState>, address: SocketAddr) -> FollowEnd {
     let stream = match connect(address).await {
         Ok(stream) => stream,
         Err(e) => {
             log::warn!("connecting to watcher {address} failed: {e}");
-            return;
+            return FollowEnd::Lost;
         }
     };
     let mut framed = Framed::new(stream, codec());
-    if framed.send(frame(&PeerRequest::WatchFeeds)).await.is_err() {
-        return;
+    let request = PeerRequest::FollowFeeds { format: FEED_FORMAT };
+    if framed.send(frame(&request)).await.is_err() {
+        return FollowEnd::Lost;
     }
+    let mut end = FollowEnd::Refused;
     while let Some(Ok(frame)) = framed.next().await {
         match postcard::from_bytes(&frame) {
             Ok(PeerResponse::FeedUpdate(update)) => {
-                entry.feed_relay.on_feed_update(&entry, address, update)
+                entry.feed_relay.on_feed_update(entry, address, update);
+                end = FollowEnd::Lost;
             }
             Ok(
                 PeerResponse::Adapter(_)
@@ -320,9 +391,9 @@
             )
             | Err(_) => {
                 log::warn!("watcher {address} sent an unexpected message; closing the connection");
-                return;
+                return FollowEnd::Refused;
             }
         }
     }
-    log::info!("the connection to watcher {address} ended");
+    end
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -77,6 +77,8 @@
     /// Requests withdrawn because they had not begun on a version that is no longer the newest.
     pub(crate) withdrawn: Counter,
     pub(crate) unreadable_rows: Counter,
+    /// Subscriptions to the feeds refused because of another feed format.
+    pub(crate) refused_followers: Counter,
     pub(crate) servers_ended: Family<CrashLabels, Counter>,
     pub(crate) contents_held: Gauge,
     pub(crate) requests_held: Counter,
@@ -136,6 +138,7 @@
             old_versions: Counter::default(),
             withdrawn: Counter::default(),
             unreadable_rows: Counter::default(),
+            refused_followers: Counter::default(),
             servers_ended: Family::default(),
             contents_held: Gauge::default(),
             requests_held: Counter::default(),
@@ -210,6 +213,11 @@
             "Store rows that could not be decoded",
             metrics.unreadable_rows.clone(),
         );
+        registry.register(
+            "refused_followers",
+            "Subscriptions to the feeds refused because of another feed format",
+            metrics.refused_followers.clone(),
+        );
         registry.register(
             "servers_ended",
             "Server crashes attributed to requests, by evidence",
--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -10,6 +10,8 @@
 //! - a variant, at the end of its enum.
 //! - a field, as the last of the whole message, decoded with
 //!   [`appended`](guavaspread_fleet::appended).
+//!
+//! [`FeedUpdate`] is exempt: hosts exchange updates only if their [`FEED_FORMAT`] is the same.
 
 use guavaspread_fleet::{
     ContentReport, HostLease, LeaseSummary, LimitReport, PermitDecision, PermitRequest,
@@ -20,6 +22,12 @@
 use crate::platform::{Feed, FeedBatch};
 use crate::prelude::*;
 
+/// The format of [`FeedUpdate`] and of all types in it.
+///
+/// It has to rise with each change of the encoding, or of what a value in it means. Otherwise a
+/// follower of another build decodes an update into other values.
+pub const FEED_FORMAT: u32 = 1;
+
 /// A message from the host that opened the connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -31,7 +39,8 @@
     ReleaseAdapter(u32),
     /// Requests the renewal of the sender's lease in a batch with those of other hosts.
     RenewLease(RenewalRequest),
-    /// Subscribes to the store's feeds as the receiver reads them.
+    /// Subscribes to the store's feeds in a format that the message does not state. Earlier builds
+    /// send it; it is refused.
     WatchFeeds,
     /// Reports server crashes by content.
     Crashes(CrashUpdate),
@@ -59,6 +68,12 @@
     QuotaPing(QuotaPing),
     /// Asks for a tunnel to a server; the first message of its connection, which becomes the tunnel.
     OpenTunnel(TunnelRequest),
+    /// Subscribes to the store's feeds as the receiver reads them; the first message of its
+    /// connection.
+    FollowFeeds {
+        /// The sender's [`FEED_FORMAT`].
+        format: u32,
+    },
 }
 
 /// A message from the host that accepted the connection.
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -1,5 +1,7 @@
 //! The server for the requests of other entry hosts.
 
+use std::net::IpAddr;
+
 use futures::{SinkExt, StreamExt, stream};
 use guavaspread_fleet::QuotaDecision;
 use tokio::net::{TcpListener, TcpStream};
@@ -10,7 +12,7 @@
 use crate::feed_relay;
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{
-    AdapterReply, AdapterRequest, AdapterStatus, PeerRequest, PeerResponse, QuotaCall,
+    AdapterReply, AdapterRequest, AdapterStatus, FEED_FORMAT, PeerRequest, PeerResponse, QuotaCall,
     RenewalRequest, TunnelReply,
 };
 use crate::peers::{QUEUE_CAPACITY, codec, frame};
@@ -22,8 +24,8 @@
 pub(crate) async fn serve(entry: Rc<EntryState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(entry.clone(), stream));
+            Ok((stream, address)) => {
+                tokio::task::spawn_local(serve_connection(entry.clone(), stream, address.ip()));
             }
             Err(e) => {
                 log::warn!("accepting a peer's connection failed, will retry: {e}");
@@ -33,7 +35,7 @@
     }
 }
 
-async fn serve_connection(entry: Rc<EntryState>, stream: TcpStream) {
+async fn serve_connection(entry: Rc<EntryState>, stream: TcpStream, peer_ip: IpAddr) {
     if let Err(e) = set_socket_options(&stream) {
         log::debug!("setting socket options on a peer's connection failed: {e}");
     }
@@ -53,14 +55,18 @@
             }
         }
     });
-    let peer = PeerConnection { entry, tx, adapter_guards: Rc::default() };
+    let peer = PeerConnection { entry, tx, adapter_guards: Rc::default(), peer_ip };
     while let Some(Ok(received)) = frames.next().await {
-        match postcard::from_bytes::<PeerRequest>(&received) {
+        let next = match postcard::from_bytes::<PeerRequest>(&received) {
             Ok(message) => peer.on_message(message),
             Err(e) => {
                 log::warn!("a peer sent an invalid message; closing its connection: {e}");
-                break;
+                Next::Close
             }
+        };
+        match next {
+            Next::Continue => {}
+            Next::Close => break,
         }
     }
     peer.adapter_guards.borrow_mut().clear();
@@ -76,10 +82,17 @@
     tx: mpsc::Sender<Bytes>,
     /// Guards of the adapters that the peer's requests use; dropped with the connection.
     adapter_guards: Rc<RefCell<HashMap<u32, AdapterGuard>>>,
+    peer_ip: IpAddr,
+}
+
+/// What to do after a peer's message.
+enum Next {
+    Continue,
+    Close,
 }
 
 impl PeerConnection {
-    fn on_message(&self, message: PeerRequest) {
+    fn on_message(&self, message: PeerRequest) -> Next {
         match message {
             PeerRequest::UseAdapter(request) => {
                 tokio::task::spawn_local(self.clone().reply_adapter(request));
@@ -140,13 +153,19 @@
                     log::debug!("a tunnel was not refused: the peer's queue is full or closed");
                 }
             }
-            PeerRequest::WatchFeeds => {
+            PeerRequest::FollowFeeds { format: FEED_FORMAT } => {
                 tokio::task::spawn_local(feed_relay::relay_feeds(
                     self.entry.clone(),
                     self.tx.clone(),
                 ));
             }
+            PeerRequest::WatchFeeds | PeerRequest::FollowFeeds { .. } => {
+                // The follower reads the store itself.
+                self.entry.feed_relay.on_follower_refused(&self.entry, self.peer_ip);
+                return Next::Close;
+            }
         }
+        Next::Continue
     }
 
     async fn reply_adapter(self, request: AdapterRequest) {
--- a/crates/entry/tests/peer_frames.rs
+++ b/crates/entry/tests/peer_frames.rs
@@ -1,11 +1,14 @@
 //! Messages between hosts of different builds: frames that earlier builds encoded.
 //!
 //! `frames/frames.txt` holds one frame a line: the commit of the build, the group and the name of the
-//! sample in `frames/samples.json`, and the frame in hex.
+//! sample in `frames/samples.json`, and the frame in hex. The lines of `format-N` are the updates of
+//! feeds in the format with this number.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
-use guavaspread_entry::peer_message::{PeerRequest, PeerResponse};
+use guavaspread_entry::peer_message::{FEED_FORMAT, FeedUpdate, PeerRequest, PeerResponse};
+use guavaspread_entry::{Feed, FeedBatch, FeedRow};
+use guavaspread_fleet::{Catalog, Organisation, Organisations, Quota, QuotaUnit, RequestLimits};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -112,3 +115,40 @@
         assert!(decode(group, &next).is_err(), "{group}: a variant has no sample");
     }
 }
+
+/// Returns an update with the values that the samples can't express.
+fn update_with_organisations() -> Vec<u8> {
+    let quota = |unit| Some(Quota { unit, rate_per_s: 2.5, burst: 10.0 });
+    let organisation = |name: &str, priority, unit| Organisation {
+        name: name.into(),
+        priority,
+        quota: quota(unit),
+    };
+    let listed = [
+        (organisation("acme", Some(2), QuotaUnit::Tokens { plain: 30 }), vec!["key-1"]),
+        (organisation("globex", None, QuotaUnit::Requests), Vec::new()),
+    ];
+    let (organisations, _) = Organisations::new([7; 16], listed);
+    let catalog = Catalog::new(4, RequestLimits::default(), Vec::new(), Vec::new());
+    let rows = vec![FeedRow::Catalog(Box::new(catalog.with_organisations(organisations)))];
+    let batch = FeedBatch { rows, revision: 9, store_time_ms: 1_700_000_000_000 };
+    let batch = Some((Feed::Control, batch));
+    let update = FeedUpdate { batch, is_snapshot: false, ages_ms: [40, 900, 3_000] };
+    postcard::to_stdvec(&PeerResponse::FeedUpdate(update)).unwrap()
+}
+
+/// If this fails because the encoding of an update changed, raise `FEED_FORMAT` and record the lines
+/// that the failure prints.
+#[test]
+fn updates_of_feeds_change_only_with_their_format() {
+    let format = format!("format-{FEED_FORMAT}");
+    let line = |name: &str, frame: &[u8]| format!("{format} feeds {name} {}", to_hex(frame));
+    let mut expected: Vec<String> = samples("feeds")
+        .iter()
+        .map(|(name, sample)| line(name, &encode_sample("feeds", sample)))
+        .collect();
+    expected.push(line("organisations", &update_with_organisations()));
+    let recorded: Vec<&str> =
+        FRAMES.lines().filter(|line| line.split(' ').next() == Some(&format)).collect();
+    assert_eq!(recorded, expected, "record:\n{}", expected.join("\n"));
+}
