--- a/crates/entry/src/peer_message.rs
+++ b/crates/entry/src/peer_message.rs
@@ -7,7 +7,8 @@
 //! Hosts of two builds run side by side during an upgrade (docs/design/two-builds.md). Postcard
 //! encodes positions only, so variants and fields are only ever appended:
 //!
-//! - a variant, at the end of its enum.
+//! - a variant, at the end of its enum. A host closes a connection whose first message it does not
+//!   know, and ignores any later one.
 //! - a field, as the last of the whole message, decoded with
 //!   [`appended`](guavaspread_fleet::appended).
 //!
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -56,14 +56,29 @@
         }
     });
     let peer = PeerConnection { entry, tx, adapter_guards: Rc::default(), peer_ip };
+    let mut is_first = true;
+    let mut has_unknown = false;
     while let Some(Ok(received)) = frames.next().await {
         let next = match postcard::from_bytes::<PeerRequest>(&received) {
             Ok(message) => peer.on_message(message),
-            Err(e) => {
-                log::warn!("a peer sent an invalid message; closing its connection: {e}");
+            Err(e) if is_first => {
+                // Tells the peer at once that this build does not know what it asks for.
+                log::warn!(
+                    "a peer at {peer_ip} sent an unknown message; closing its connection: {e}"
+                );
                 Next::Close
             }
+            Err(e) => {
+                // The adapters in use by other requests depend on the connection.
+                if !std::mem::replace(&mut has_unknown, true) {
+                    log::warn!(
+                        "a peer at {peer_ip} sends unknown messages, which are ignored: {e}"
+                    );
+                }
+                Next::Continue
+            }
         };
+        is_first = false;
         match next {
             Next::Continue => {}
             Next::Close => break,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -462,6 +462,7 @@
     };
     let mut framed = Framed::new(stream, codec());
     let mut pending = PendingRequests::default();
+    let mut has_unknown = false;
     loop {
         let next = tokio::select! {
             outgoing = outgoing.recv() => match outgoing {
@@ -471,7 +472,15 @@
             frame = framed.next() => match frame {
                 Some(Ok(frame)) => match postcard::from_bytes(&frame) {
                     Ok(message) => pending.on_message(message),
-                    Err(_) => Next::Close,
+                    Err(e) => {
+                        // The adapters in use by other requests depend on the connection.
+                        if !std::mem::replace(&mut has_unknown, true) {
+                            log::warn!(
+                                "entry host {address} sends unknown messages, which are ignored: {e}"
+                            );
+                        }
+                        Next::Continue
+                    }
                 },
                 Some(Err(_)) | None => return,
             },
