--- a/crates/fleet/tests/released_engines.rs
+++ b/crates/fleet/tests/released_engines.rs
@@ -23,6 +23,9 @@
     table: Table,
     managers: Vec<LeaseManager>,
     reaches: Vec<bool>,
+    /// Whether each host's build knows of releases. One that does not ignores them in the rows that
+    /// it reads, and releases nothing.
+    knows_releases: Vec<bool>,
     writes: usize,
     now: Duration,
 }
@@ -41,7 +44,9 @@
         };
         let (managers, reaches) = ((0..count).map(manager).collect(), vec![true; count]);
         let table = Table::default();
-        let mut hosts = Hosts { table, managers, reaches, writes: 0, now: Duration::ZERO };
+        let knows_releases = vec![true; count];
+        let (writes, now) = (0, Duration::ZERO);
+        let mut hosts = Hosts { table, managers, reaches, knows_releases, writes, now };
         hosts.run_until(SETTLED_AT);
         hosts
     }
@@ -49,9 +54,11 @@
     fn run_until(&mut self, until: Duration) {
         while self.now < until {
             self.now += STEP;
-            let (now, reaches) = (self.now, self.reaches.clone());
+            let now = self.now;
+            let builds = self.reaches.iter().copied().zip(self.knows_releases.iter().copied());
+            let builds: Vec<(bool, bool)> = builds.collect();
             let store_time_ms = now.as_millis() as u64 + STORE_OFFSET_MS;
-            for (manager, reaches) in self.managers.iter_mut().zip(reaches) {
+            for (manager, (reaches, knows_releases)) in self.managers.iter_mut().zip(builds) {
                 for engine in manager.engines_to_probe(now) {
                     if reaches {
                         manager.on_engine_reached(&engine, now);
@@ -59,7 +66,10 @@
                 }
                 match manager.next_action(now) {
                     LeaseAction::Read(after) => {
-                        let read = self.table.read(after, store_time_ms);
+                        let mut read = self.table.read(after, store_time_ms);
+                        if !knows_releases {
+                            read.claims.iter_mut().for_each(|claim| claim.released_ms = None);
+                        }
                         manager.on_read(read, after.is_none(), now, now);
                     }
                     LeaseAction::Write(write) => {
@@ -205,3 +215,42 @@
     }
     assert_eq!(hosts.managers[1 - releaser].owner_of("i-0"), None);
 }
+
+/// How long a releaser and hosts of an earlier build run beside each other.
+const MIXED_TIME: Duration = Duration::from_secs(40);
+
+/// The last host is of a build that knows no releases; the releaser goes on, stops for good, or
+/// starts again as that build.
+#[test_case(false, false; "the releaser goes on")]
+#[test_case(true, false; "the releaser stops")]
+#[test_case(true, true; "the releaser starts again as an earlier build")]
+fn a_build_that_knows_no_releases_leaves_one_owner(stops: bool, restarts: bool) {
+    let mut hosts = Hosts::start(3, false);
+    let releaser = hosts.owner("i-0").unwrap();
+    let earlier = (releaser + 1) % 3;
+    hosts.knows_releases[earlier] = false;
+    hosts.release_all(releaser, hosts.now);
+    hosts.notice(releaser);
+    if stops {
+        let (name, address) = (format!("host-{releaser}").into(), "10.0.0.1:80".parse());
+        let mut manager = LeaseManager::new(name, address.unwrap(), "north".into(), TIMES);
+        if restarts {
+            manager.set_engines((0..ENGINES).map(|n| (format!("i-{n}").into(), true)).collect());
+        } else {
+            // Without engines the host claims nothing.
+            manager.set_engines(Default::default());
+        }
+        hosts.managers[releaser] = manager;
+        hosts.knows_releases[releaser] = false;
+    }
+    let until = hosts.now + MIXED_TIME;
+    while hosts.now < until {
+        hosts.run_until(hosts.now + STEP);
+        for engine in ["i-0", "i-1"] {
+            let is_owner = |manager: &&LeaseManager| manager.fence(engine, hosts.now).is_some();
+            let owners = hosts.managers.iter().filter(is_owner).count();
+            assert!(owners <= 1, "{owners} owners of {engine} at {:?}", hosts.now);
+        }
+    }
+    assert!(hosts.owner("i-0").is_some(), "the engine has no owner");
+}
