--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -157,7 +157,8 @@
         if has_body && is_close_delimited(&res) {
             return Err(Error::new(ErrorCode::Interrupted, "neither a length nor chunks"));
         }
-        Ok(response_parts(res, &req))
+        let length = stated_length(&res).filter(|_| has_body);
+        Ok(response_parts(res, length, &req))
     }
 }
 
@@ -172,7 +173,21 @@
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn response_parts(res: ClientResponse, req: &BackendRequest) -> ResponseStream {
+/// Returns the length of the body that the head states.
+///
+/// The client doesn't compare it with the bytes received from HTTP/1.0.
+fn stated_length(res: &ClientResponse) -> Option<u64> {
+    if matches!(res.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return None;
+    }
+    res.headers().get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
+
+fn response_parts(
+    res: ClientResponse,
+    length: Option<u64>,
+    req: &BackendRequest,
+) -> ResponseStream {
     let content_type =
         res.headers().get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok()).map(str::to_owned);
     let head = ResponsePart::Head { status: res.status().as_u16(), content_type };
@@ -180,7 +195,7 @@
     let idle_timeout = Duration::from_millis(req.idle_timeout_ms.into());
     match req.stream && res.status() == StatusCode::OK {
         true => Box::pin(head.chain(event_parts(res, idle_timeout))),
-        false => Box::pin(head.chain(body_parts(res, idle_timeout))),
+        false => Box::pin(head.chain(body_parts(res, length, idle_timeout))),
     }
 }
 
@@ -246,18 +261,26 @@
 
 impl std::error::Error for PieceError {}
 
+/// Yields `Done` only if `length`, where it is known, has arrived.
 fn body_parts(
     res: ClientResponse,
+    length: Option<u64>,
     idle_timeout: Duration,
 ) -> impl futures::Stream<Item = Result<ResponsePart>> {
-    stream::unfold(Some(res), move |state| async move {
-        let mut res = state?;
+    stream::unfold(Some((res, 0)), move |state| async move {
+        let (mut res, received) = state?;
         match timeout(idle_timeout, res.next()).await {
             Err(()) => Some((Err(Error::new(ErrorCode::TimedOut, "no data received")), None)),
+            Ok(None) if length.is_some_and(|length| length != received) => {
+                let detail = "the body is shorter than its length";
+                Some((Err(Error::new(ErrorCode::Interrupted, detail)), None))
+            }
             Ok(None) => Some((Ok(ResponsePart::Done), None)),
             Ok(Some(Err(e))) => Some((Err(Error::new(ErrorCode::Interrupted, e)), None)),
             Ok(Some(Ok(buf))) => {
-                Some((Ok(ResponsePart::Data(Bytes::copy_from_slice(&buf))), Some(res)))
+                let received = received + buf.len() as u64;
+                let data = ResponsePart::Data(Bytes::copy_from_slice(&buf));
+                Some((Ok(data), Some((res, received))))
             }
         }
     })
