--- a/crates/engine/tests/cut_heads.rs
+++ b/crates/engine/tests/cut_heads.rs
@@ -58,10 +58,15 @@
 
 fn read_request(stream: &mut TcpStream) {
     let (mut text, mut buf) = (Vec::new(), [0; 4_096]);
-    while !text.ends_with(b"\r\n\r\n") && !text.ends_with(b"}") {
+    loop {
         let length = stream.read(&mut buf).unwrap();
         assert!(length > 0);
         text.extend_from_slice(&buf[..length]);
+        // Commands are JSON objects, and other requests have no body.
+        let end: &[u8] = if text.starts_with(b"POST") { b"}" } else { b"\r\n\r\n" };
+        if text.ends_with(end) {
+            return;
+        }
     }
 }
 
@@ -157,6 +162,30 @@
     });
 }
 
+/// An engine's report and its response to a command.
+#[test_case("length", Ending::Close; "length")]
+#[test_case("chunks", Ending::Reset; "chunks, reset")]
+#[test_case("old", Ending::HalfClose; "version 1.0, half close")]
+fn a_command_whose_response_head_is_cut_has_failed(framing: &'static str, ending: Ending) {
+    run(async move {
+        let (address, texts) = start_server(ending);
+        let backend = HttpBackendClient::new(address).await.unwrap();
+        let adapter = "acme/a1@1".parse().unwrap();
+        let (text, head_length) = response(framing, "", "\r\n", "{\"data\":[]}");
+        for cut in 0..head_length {
+            for _ in 0..3 {
+                texts.send(text.as_bytes()[..cut].to_vec()).unwrap();
+            }
+            assert!(backend.load_adapter(&adapter, 1).await.is_err(), "{:?}", &text[..cut]);
+            assert!(backend.unload_adapter(&adapter, 1).await.is_err(), "{:?}", &text[..cut]);
+            assert!(backend.list_adapters().await.is_err(), "{:?}", &text[..cut]);
+        }
+        texts.send(text.into_bytes()).unwrap();
+        let list = backend.list_adapters().await;
+        assert!(list.is_ok() || matches!(ending, Ending::Reset), "{list:?}");
+    });
+}
+
 /// Of a response that states its length, no part is the whole, whichever version it has.
 #[test_case("length"; "version 1.1")]
 #[test_case("old length"; "version 1.0")]
