--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -169,8 +169,10 @@
     let headers = res.headers();
     res.version() != Version::HTTP_10
         && !matches!(res.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-        && !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
+        && match headers.get(header::TRANSFER_ENCODING) {
+            Some(encoding) => !encoding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"),
+            None => !headers.contains_key(header::CONTENT_LENGTH),
+        }
 }
 
 /// Returns the length of the body that the head states.
--- a/crates/engine/tests/close_delimited.rs
+++ b/crates/engine/tests/close_delimited.rs
@@ -98,6 +98,7 @@
 
 #[test_case("HTTP/1.1 200 OK\r\n\r\nwhole"; "no length")]
 #[test_case("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"; "connection close")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwhole"; "identity")]
 fn a_response_without_a_length_is_not_taken_for_empty(response: &'static str) {
     let data = run(complete_data(response, false, false));
     assert!(data.as_deref().is_none_or(|data| data == "whole"), "{data:?}");
