--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -45,14 +46,22 @@
             pass
 
 
+USED_PORTS = set()
+
+
 def free_ports(count):
-    """Returns ports that were free a moment ago; all are different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns ports that were free a moment ago, below those of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(11_000, 31_000)
+        with socket.socket() as each:
+            try:
+                each.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -364,7 +373,8 @@
         try:
             if self.writer is None:
                 await self.open()
-            self.writer.write(head.encode() + body)
+            self.writer.write(head.encode())
+            self.writer.write(body)
             await asyncio.wait_for(self.writer.drain(), limit_s)
             await asyncio.wait_for(self.receive(answer), limit_s)
         except (OSError, asyncio.IncompleteReadError, ValueError) as e:
