--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,111 +1,110 @@
-"""Callers whose request bodies are within the limits of the desired state fill the memory of the
-entry hosts, which the platform then kills.
-
-Streams run on kept channels meanwhile, as the witnesses of what the kill costs.
-"""
+"""A server whose refusals carry no id, as the pages show them, sends additional bytes after a complete
+response: one more refusal. The entry host takes it for the answer to the next request on the channel,
+which the server runs, and sends that request to another server as well."""
 
 import asyncio
 import os
 import sys
-import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standins_2 import *
 
-MEMORY_MB = 260  # of the machines in sites/kitashigoto-appt.toml
-BODY_BYTES = LIMITS["max_body_bytes"]
-USUAL_BODY_BYTES = 18_000  # of case-summary
-UPLOADS = 96  # in a burst, at each host
-UPLOADS_PER_S = 24  # at each host; the site sends 242 requests a second to 9 hosts
-WITNESSES = 8
-BURSTS = 3
-RESTART_S = 0.5
-DEADLINE_MS = 12000
+# `srv_grey` (shed): share 0.15 of the servers, x 0.4 of their requests; one of four, for 2 s.
+# `garble` in sites/kitashigoto-appt.toml: share 0.6 of the servers, x 0.03 of their answers; the
+# same server, one answer in 40.
+SERVERS, SLOTS = 4, 6
+SHED_EACH, SHED_S, FAULTY_ANSWER_EACH = (2, 5), 2, 40
+CALLERS, REQUESTS, PAUSE_S = 24, 100, 0.12
+CONTACT_S = 3
+SHED = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-async def watch_memory(record, host, kills, peaks):
-    """The platform: kills a process that exceeds its memory, and starts it again."""
-    while True:
-        memory_mb = host.memory_mb()
-        peaks[host.name] = max(peaks.get(host.name, 0.0), memory_mb)
-        if memory_mb > MEMORY_MB:
-            record.line(f"{host.name} holds {memory_mb:.0f} MB of {MEMORY_MB}: killed")
-            kills.append((host.name, time.monotonic()))
-            host.kill()
-            await asyncio.sleep(RESTART_S)
-            host.start()
-            await host.wait_ready()
-        await asyncio.sleep(0.01)
+class Booking(Server):
+    """Echoes the ids of requests, but sheds with the answer that `fleetbench wire` shows."""
 
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        self.sheds, self.is_garbling, self.arrived, self.answers = False, False, 0, 0
 
-async def upload(record, host, id, delay_s, results):
-    await asyncio.sleep(delay_s)
-    body = b"x" * (BODY_BYTES if trouble() else USUAL_BODY_BYTES)
-    caller = Caller(host.listen)
-    answer = await caller.send(head("POST", "/summary/", id, len(body), DEADLINE_MS), body)
-    record.line(f"{id}: {answer.status} {answer.error or 'complete'}")
-    results.append((id, answer))
-    caller.close()
+    async def serve(self, reader, writer):
+        additional = None
+        try:
+            while (head := await read_head(reader)) is not None:
+                line, headers = head
+                body = await read_body(reader, headers)
+                id = headers.get("x-request-id")
+                if additional is not None:
+                    writer.write(additional)
+                    self.record.line(f"server {self.id} sends additional bytes before the answer to {id}")
+                    additional = None
+                self.arrived += 1
+                if self.sheds and self.arrived % SHED_EACH[1] < SHED_EACH[0]:
+                    self.record.line(f"server {self.id} sheds {id}")
+                    writer.write(SHED)
+                    continue
+                await self.answer(line, headers, body, writer)
+                self.answers += 1
+                if self.is_garbling and self.answers % FAULTY_ANSWER_EACH == 0:
+                    additional = SHED
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
 
 
-async def witness(record, host, name, results, stop):
-    """Sends one request after the other on a kept channel."""
-    caller, number = Caller(host.listen), 0
-    while not stop.is_set():
-        number += 1
+async def trouble_of(record, server):
+    server.sheds = True
+    record.line(f"server {server.id} sheds {SHED_EACH[0]} in {SHED_EACH[1]} requests")
+    await asyncio.sleep(SHED_S)
+    server.sheds, server.is_garbling = False, True
+    record.line(f"server {server.id} garbles one answer in {FAULTY_ANSWER_EACH}")
+
+
+async def call(record, host, name, count, results):
+    caller = Caller(host.listen)
+    for number in range(count):
         id = f"{name}-{number}"
-        is_kept = caller.writer is not None
-        answer = await caller.send(head("POST", "/chat/", id, 2, DEADLINE_MS), b"hi")
-        if not answer.is_complete():
-            record.line(f"{id}: {answer.status} {answer.error}")
-            await asyncio.sleep(0.3)
-        results.append((id, answer, is_kept))
+        answer = await caller.send(head("POST", "/book/", id, 2, 600), b"{}")
+        if answer.status != 200:
+            record.line(f"{id}: {answer.status} {answer.error or ''}")
+        results.append((id, answer))
+        await asyncio.sleep(PAUSE_S)
     caller.close()
 
 
 async def main(record, folder, hosts):
     store = Store()
     await store.start()
-    drafter = Server(record, "i-drafter", "drafter", work_s=1.2, slots=256, events=6)
-    summaries = [Server(record, f"i-summary-{n}", "summaries", work_s=4.5) for n in range(4)]
-    for server in (drafter, *summaries):
+    servers = [Booking(record, f"i-{n}", "booking", work_s=0.015, slots=SLOTS)
+               for n in range(SERVERS)]
+    for server in servers:
         await server.start()
         store.put("servers", server.id, server.row())
-    routes = [route("chat", "/chat/", "streaming", "drafter", DEADLINE_MS, gap_target_ms=400),
-              route("summary", "/summary/", "unsafe", "summaries", DEADLINE_MS)]
-    store.put("op", "config", config(1, routes, ["drafter", "summaries"]))
+    store.put("op", "config", config(1, [route("book", "/book/", "unsafe", "booking", 600)],
+                                     ["booking"]))
     for number in range(2):
         hosts.append(EntryHost(record, folder, f"front-{number}", store.port))
         hosts[-1].start()
     for host in hosts:
         await host.wait_ready()
-    kills, peaks, witnessed, uploads, stop = [], {}, [], [], asyncio.Event()
-    watchers = [asyncio.create_task(watch_memory(record, host, kills, peaks)) for host in hosts]
-    witnesses = [asyncio.create_task(witness(record, host, f"w{index}-{host.name}", witnessed, stop))
-                 for host in hosts for index in range(WITNESSES)]
-    await asyncio.sleep(2)
-    for burst in range(BURSTS):
-        record.line(f"burst {burst}: {UPLOADS} requests at each host")
-        await asyncio.gather(*(
-            upload(record, host, f"u{burst}-{index}-{host.name}", index / UPLOADS_PER_S, uploads)
-            for host in hosts for index in range(UPLOADS)))
-        await asyncio.sleep(3)
-    stop.set()
-    await asyncio.gather(*witnesses)
-    for watcher in watchers:
-        watcher.cancel()
-    lost = [id for id, answer, is_kept in witnessed
-            if is_kept and id in drafter.began and not answer.is_complete()]
-    by_host = {host.name: sum(name == host.name for name, _ in kills) for host in hosts}
-    ends = {name: int(mb) for name, mb in peaks.items()}
-    record.line(f"memory at its peak, in MB: {ends}; ends of processes: {by_host}")
-    record.line(f"uploads complete: {sum(a.is_complete() for _, a in uploads)} of {len(uploads)}")
-    record.line(f"LOST: {len(lost)} requests from kept channels were passed on to a sound server, "
-                f"whose channels closed without a complete answer (3 allowed): {lost}")
-    print(f"peak MB {ends}, ends {by_host}, lost {len(lost)}")
-    has_fault = all(count >= 3 for count in by_host.values())
-    record.line(f"Fault (two machines, three ends each): {'broken' if has_fault else 'held'}")
-    return BROKEN if len(lost) > 3 else HELD
+    await asyncio.sleep(CONTACT_S)
+    results = []
+    faults = [asyncio.create_task(trouble_of(record, servers[0]))] if trouble() else []
+    await asyncio.sleep(0.2)
+    await asyncio.gather(*(call(record, hosts[n % 2], f"c{n}", REQUESTS, results)
+                           for n in range(CALLERS)))
+    await asyncio.gather(*faults)
+    await asyncio.sleep(1)
+    runs = {}
+    for server in servers:
+        for id, times in server.began.items():
+            runs[id] = runs.get(id, 0) + len(times)
+    twice = [id for id, count in runs.items() if count > 1]
+    refused = [id for id, answer in results if answer.status in (408, 421, 429, 503) and id in runs]
+    record.line(f"TWICE: {len(twice)} unsafe requests ran more than once: {twice}")
+    record.line(f"REFUSED: {len(refused)} were answered with a promise and ran: {refused}")
+    print(f"{len(results)} requests: {len(twice)} ran twice, {len(refused)} refused and run")
+    return BROKEN if twice or refused else HELD
 
 
 run_case("6", main)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # stand-ins are Python 3 programs that use the standard library alone, so this only compiles them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m py_compile review/standins_2.py review/[6-9]/case.py
+python3 -m py_compile review/standins_2.py review/{6,7,8,9,10}/case.py
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -39,7 +39,10 @@
     def end(self, text):
         self.line(text)
         self.file.close()
-        print(text)
+        try:
+            print(text, flush=True)
+        except OSError:
+            pass
 
 
 def free_ports(count):
@@ -90,12 +93,20 @@
         self.version = 0
         self.started = time.monotonic()
         self.changed = asyncio.Event()
-        self.server = None
+        self.servers, self.writers = {}, set()
         self.port = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        """Listens on a free port, beside those on which it listens already."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        self.servers[self.port] = server
+
+    async def close(self, port):
+        """Stops listening on a port and closes its channels."""
+        self.servers.pop(port).close()
+        for writer in [w for w in self.writers if w.get_extra_info("sockname")[1] == port]:
+            writer.transport.abort()
 
     def put(self, table, key, value):
         self.write([(table, key, base64.b64encode(json.dumps(value).encode()).decode())])
@@ -127,6 +138,7 @@
         return rows
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
@@ -142,6 +154,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, method, target, body):
@@ -276,6 +289,16 @@
                                         stdout=log, stderr=log)
         self.record.line(f"the platform starts {self.name}")
 
+    def change_settings(self, old, new):
+        with open(self.settings) as file:
+            text = file.read()
+        with open(self.settings + ".new", "w") as file:
+            file.write(text.replace(old, new))
+        os.replace(self.settings + ".new", self.settings)
+
+    def reload(self):
+        self.process.send_signal(signal.SIGHUP)
+
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
