--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -23,6 +23,7 @@
 use crate::prelude::*;
 use crate::read_budget::{BudgetedIo, ReadBudget};
 use crate::tunnel::Tunnel;
+use crate::unnamed_responses::UnnamedResponses;
 
 /// How long a connection may take to open; a machine that is powered off never responds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -232,19 +233,19 @@
     Tunnel,
 }
 
-/// Whether a server's refusals carry the ids of their requests.
+/// Whether a request may be sent on a connection that carried others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RefusalNaming {
-    Named,
-    Unnamed,
+pub(crate) enum Reuse {
+    Allowed,
+    /// The response is to be the first one on its connection.
+    Forbidden,
 }
 
 /// Pool of idle connections by server.
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<ServerKey, Vec<Connection>>>,
-    /// The naming of the refusals of each server that refused a request, by its id.
-    refusal_naming: RefCell<HashMap<Arc<str>, RefusalNaming>>,
+    unnamed_responses: RefCell<UnnamedResponses>,
 }
 
 /// A response head, and its body, which occupies a connection.
@@ -254,7 +255,7 @@
     /// The body.
     pub body: ResponseBody,
     /// Whether the connection carried no request before.
-    is_first_on_connection: bool,
+    pub(crate) is_first_on_connection: bool,
 }
 
 impl ServerResponse {
@@ -356,35 +357,26 @@
         timed.unwrap_or(Err(SendError::TimedOut(limit)))
     }
 
-    /// Records a refusal by a server.
-    ///
-    /// A server that named one refusal may leave out the id of another one that it sends before it
-    /// has read the request, so it still counts as a server that names its refusals.
-    pub(crate) fn on_refusal(&self, server_id: &Arc<str>, naming: RefusalNaming) {
-        let mut known = self.refusal_naming.borrow_mut();
-        let known = known.entry(server_id.clone()).or_insert(naming);
-        if naming == RefusalNaming::Named {
-            *known = naming;
-        }
+    /// Records that a server refused a request without its id.
+    pub(crate) fn on_unnamed_refusal(&self, server_id: &Arc<str>, now: Duration) {
+        self.unnamed_responses.borrow_mut().on_refusal(server_id, now);
     }
 
-    /// Returns whether a refusal without an id belongs to the request that it follows.
+    /// Returns whether a request may be sent to a server on a kept connection.
     ///
-    /// On a connection that carried other requests, it may be a late response to one of them, unless
-    /// the server is known to leave out the ids.
-    pub(crate) fn is_own_unnamed_refusal(
-        &self,
-        server_id: &str,
-        response: &ServerResponse,
-    ) -> bool {
-        response.is_first_on_connection
-            || self.refusal_naming.borrow().get(server_id) == Some(&RefusalNaming::Unnamed)
+    /// There, a refusal without an id does not prove that the request did not run, so that a request
+    /// that must not run twice could not be sent to another server.
+    pub(crate) fn reuse(&self, server_id: &str, now: Duration) -> Reuse {
+        match self.unnamed_responses.borrow().has_refusal(server_id, now) {
+            true => Reuse::Forbidden,
+            false => Reuse::Allowed,
+        }
     }
 
     /// Closes the idle connections to a server that started or left, and forgets what it did before.
     pub(crate) fn forget_server(&self, server_id: &str) {
         self.close_idle(server_id);
-        self.refusal_naming.borrow_mut().remove(server_id);
+        self.unnamed_responses.borrow_mut().forget(server_id);
     }
 
     /// Closes the idle connections to a server.
@@ -425,6 +417,17 @@
         Some(connections.remove(index))
     }
 
+    /// Closes the idle connection that was used least recently.
+    ///
+    /// A server accepts a limited number of connections.
+    pub(crate) fn close_oldest_idle(&self, key: &ServerKey) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(key)
+            && !connections.is_empty()
+        {
+            connections.remove(0);
+        }
+    }
+
     fn put_idle(&self, pool_slot: &PoolSlot, mut connection: Connection) {
         connection.idle_until = pool_slot.clock.now() + pool_slot.idle_timeout;
         let mut idle = self.idle.borrow_mut();
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 
 use super::{Attempt, Call};
 use crate::body::{InFlight, ResponseKind, Run};
-use crate::connection_pool::{RefusalNaming, SendError, ServerPath, ServerResponse};
+use crate::connection_pool::{SendError, ServerPath, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::platform::{ForwardInfo, ResponseInfo, RunStatement};
 use crate::prelude::*;
@@ -96,7 +96,11 @@
         self.note_old_version(version, now, record);
         let response_info =
             self.entry.platform.protocol.parse_response(status, &response.head.headers);
-        if self.is_foreign(server, &response, &response_info) {
+        if response_info.is_not_run() && response_info.id.is_none() {
+            self.entry.pool.on_unnamed_refusal(&server.id, now);
+        }
+        if self.is_foreign(&response, &response_info) {
+            self.entry.metrics.foreign_responses.inc();
             // The next request would read this request's response.
             response.close();
             let detail = "the answer is another request's".to_owned();
@@ -154,7 +158,8 @@
         record: &mut Record,
     ) -> Result<ServerResponse, SendError> {
         let entry = &self.entry;
-        let (connection, key) = entry.connect_server(server, &self.info.id).await?;
+        let reuse = entry.pool.reuse(&server.id, entry.clock.now());
+        let (connection, key) = entry.connect_server(server, &self.info.id, reuse).await?;
         if let Some(peer) = connection.peer() {
             record.add(Step::Through { peer: peer.clone() });
         }
@@ -234,18 +239,10 @@
     }
 
     /// Returns whether a response belongs, or may belong, to another request on its connection.
-    fn is_foreign(
-        &self,
-        server: &Server,
-        response: &ServerResponse,
-        response_info: &ResponseInfo,
-    ) -> bool {
+    fn is_foreign(&self, response: &ServerResponse, response_info: &ResponseInfo) -> bool {
         match response_info.id.as_deref() {
             Some(id) => *id != *self.info.id,
-            None => {
-                response_info.is_not_run()
-                    && !self.entry.pool.is_own_unnamed_refusal(&server.id, response)
-            }
+            None => response_info.is_not_run() && !response.is_first_on_connection,
         }
     }
 
@@ -269,11 +266,6 @@
             response.close();
             return Attempt::Failed(AttemptOutcome::Refused, None);
         }
-        let naming = match response_info.id {
-            Some(_) => RefusalNaming::Named,
-            None => RefusalNaming::Unnamed,
-        };
-        self.entry.pool.on_refusal(&server.id, naming);
         let is_full = response_info.load.is_some_and(|load| load.running >= load.slots);
         match self.adapter() {
             Some(id) if !is_full => {
@@ -284,10 +276,10 @@
                 Attempt::RetrySame
             }
             Some(_) | None => {
-                match naming {
-                    RefusalNaming::Named => response.on_named_refusal(&self.info.id),
+                match response_info.id {
+                    Some(_) => response.on_named_refusal(&self.info.id),
                     // Nothing would tell a late copy from the response to the next request.
-                    RefusalNaming::Unnamed => response.close(),
+                    None => response.close(),
                 }
                 self.entry.placement.borrow_mut().on_request_failed(key, now);
                 Attempt::Failed(AttemptOutcome::Refused, None)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,6 +51,7 @@
 mod stream_versions;
 mod tunnel;
 mod tunnel_server;
+mod unnamed_responses;
 
 pub use clock::Clock;
 pub use connection_pool::{ConnectionPool, ResponseBody, SendError, ServerResponse};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -110,6 +110,8 @@
     pub(crate) tunnels_opened: Counter,
     pub(crate) tunnels_failed: Counter,
     pub(crate) tunnelled_requests: Counter,
+    pub(crate) unshared_connections: Counter,
+    pub(crate) foreign_responses: Counter,
     /// Tunnels that this host serves for peers.
     pub(crate) tunnels_served: Gauge,
     pub(crate) tunnels_refused: Counter,
@@ -166,6 +168,8 @@
             tunnels_opened: Counter::default(),
             tunnels_failed: Counter::default(),
             tunnelled_requests: Counter::default(),
+            unshared_connections: Counter::default(),
+            foreign_responses: Counter::default(),
             tunnels_served: Gauge::default(),
             tunnels_refused: Counter::default(),
         };
@@ -353,6 +357,16 @@
             "Requests sent to servers by way of peers",
             metrics.tunnelled_requests.clone(),
         );
+        registry.register(
+            "unshared_connections",
+            "Requests sent on new connections because their server leaves out the ids of requests",
+            metrics.unshared_connections.clone(),
+        );
+        registry.register(
+            "foreign_responses",
+            "Responses that belong, or may belong, to another request",
+            metrics.foreign_responses.clone(),
+        );
         registry.register(
             "tunnels_served",
             "Open connections to servers that this host serves for peers",
--- a/crates/entry/src/server_paths.rs
+++ b/crates/entry/src/server_paths.rs
@@ -6,7 +6,7 @@
 use guavaspread_model::rendezvous_score;
 
 use crate::connection_pool::{
-    Connection, SendError, ServerKey, ServerPath, accepts_connections, connect,
+    Connection, Reuse, SendError, ServerKey, ServerPath, accepts_connections, connect,
 };
 use crate::prelude::*;
 use crate::state::EntryState;
@@ -48,6 +48,8 @@
 
     /// Returns an idle or a new connection for a request to a server, and its path.
     ///
+    /// If reuse is forbidden, the new connection replaces an idle one.
+    ///
     /// # Errors
     ///
     /// Returns [`SendError::NotSent`].
@@ -55,11 +57,12 @@
         self: &Rc<Self>,
         server: &Arc<Server>,
         request_id: &str,
+        reuse: Reuse,
     ) -> Result<(Connection, ServerKey), SendError> {
         let key = |path| ServerKey { address: server.address, id: server.id.clone(), path };
         if !self.is_cut_off(&server.service) {
             let direct = key(ServerPath::Direct);
-            if let Some(connection) = self.pool.take_idle(&direct, request_id, self.clock.now()) {
+            if let Some(connection) = self.take_idle(&direct, request_id, reuse) {
                 return Ok((connection, direct));
             }
             match self.open_direct(server).await {
@@ -70,7 +73,7 @@
             }
         }
         let tunnel = key(ServerPath::Tunnel);
-        let connection = match self.pool.take_idle(&tunnel, request_id, self.clock.now()) {
+        let connection = match self.take_idle(&tunnel, request_id, reuse) {
             Some(connection) => connection,
             None => self.open_tunnel(server).await?,
         };
@@ -81,6 +84,17 @@
         Ok((connection, tunnel))
     }
 
+    fn take_idle(&self, key: &ServerKey, request_id: &str, reuse: Reuse) -> Option<Connection> {
+        match reuse {
+            Reuse::Allowed => self.pool.take_idle(key, request_id, self.clock.now()),
+            Reuse::Forbidden => {
+                self.metrics.unshared_connections.inc();
+                self.pool.close_oldest_idle(key);
+                None
+            }
+        }
+    }
+
     async fn open_direct(self: &Rc<Self>, server: &Arc<Server>) -> Result<Connection, SendError> {
         match connect(server.address).await {
             Ok(stream) => {
