--- a/crates/entry/src/tunnel_server.rs
+++ b/crates/entry/src/tunnel_server.rs
@@ -24,10 +24,16 @@
 /// Buffer for the bytes to the server.
 const COPY_BUFFER_BYTES: usize = 8 * 1024;
 
+/// How long the bytes to the server are discarded after the tunnel ended. A connection that is closed
+/// with unread bytes is reset, which discards the end of the response on its way to the peer.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why a tunnel ended.
 enum End {
     /// The server closed its connection.
     Server,
+    /// The server reset its connection; its last bytes are on their way to the peer.
+    Reset,
     /// A connection failed, or the peer closed its one.
     Broken,
 }
@@ -117,22 +123,37 @@
 async fn relay(entry: &EntryState, mut peer: TcpStream, mut server: TcpStream) {
     let (mut from_peer, mut to_peer) = peer.split();
     let (mut from_server, mut to_server) = server.split();
-    let to_server = copy_to_server(&mut from_peer, &mut to_server);
-    let to_peer = copy_to_peer(entry, &mut from_server, &mut to_peer);
+    let is_reset = Cell::new(false);
+    let to_server = copy_to_server(&mut from_peer, &mut to_server, &is_reset);
     let ended = tokio::select! {
         ended = to_server => ended,
-        ended = to_peer => ended,
+        ended = copy_to_peer(entry, &mut from_server, &mut to_peer, &is_reset) => ended,
+    };
+    let reason = match ended {
+        Ok(End::Server) => "closed",
+        Ok(End::Reset) => "reset",
+        Ok(End::Broken) => return,
+        Err(e) => return log::debug!("a tunnel broke: {e}"),
     };
-    match ended {
-        Ok(End::Server) => log::debug!("a tunnel ended: the server closed its connection"),
-        Ok(End::Broken) => {}
-        Err(e) => log::debug!("a tunnel broke: {e}"),
+    log::debug!("a tunnel ended: the server {reason} its connection");
+    if let Err(e) = to_peer.shutdown().await {
+        return log::debug!("a tunnel broke at its end: {e}");
+    }
+    if tokio::time::timeout(LINGER_TIMEOUT, discard(&mut from_peer)).await.is_err() {
+        log::debug!("a peer kept its end of a tunnel open after the server's end");
     }
 }
 
+/// Reads until the connection ends or fails.
+async fn discard(from_peer: &mut ReadHalf<'_>) {
+    let mut buf = vec![0; COPY_BUFFER_BYTES];
+    while from_peer.read(&mut buf).await.is_ok_and(|read| read > 0) {}
+}
+
 async fn copy_to_server(
     from_peer: &mut ReadHalf<'_>,
     to_server: &mut WriteHalf<'_>,
+    is_reset: &Cell<bool>,
 ) -> io::Result<End> {
     let mut buf = vec![0; COPY_BUFFER_BYTES];
     loop {
@@ -140,8 +161,11 @@
         if read == 0 {
             return Ok(End::Broken);
         }
-        if to_server.write_all(&buf[..read]).await.is_err() {
-            // The server may have responded before it closed the connection; reading tells.
+        if let Err(e) = to_server.write_all(&buf[..read]).await {
+            // The server may have responded before it closed the connection; reading tells. The
+            // socket reports a reset only once, so that reading shows a plain end after it. The
+            // error is `BrokenPipe` if the server had ended its response before the reset.
+            is_reset.set(e.kind() != io::ErrorKind::BrokenPipe);
             return std::future::pending().await;
         }
     }
@@ -151,24 +175,32 @@
     entry: &EntryState,
     from_server: &mut ReadHalf<'_>,
     to_peer: &mut WriteHalf<'_>,
+    is_reset: &Cell<bool>,
 ) -> io::Result<End> {
     let mut stopping = entry.stopping.subscribe();
     let mut buf = vec![0; LENGTH_BYTES + FRAME_BYTES_MAX];
     let mut is_announced = false;
     loop {
         let read = tokio::select! {
-            read = from_server.read(&mut buf[LENGTH_BYTES..]) => read?,
+            read = from_server.read(&mut buf[LENGTH_BYTES..]) => read,
             _ = stopping.wait_for(|is_stopping| *is_stopping), if !is_announced => {
                 is_announced = true;
                 to_peer.write_all(&STOPPING_MARK.to_be_bytes()).await?;
                 continue;
             }
         };
-        if read == 0 {
-            to_peer.write_all(&END_MARK.to_be_bytes()).await?;
-            to_peer.shutdown().await?;
-            return Ok(End::Server);
-        }
+        let read = match read {
+            Ok(0) if is_reset.get() => return Ok(End::Reset),
+            Ok(0) => {
+                to_peer.write_all(&END_MARK.to_be_bytes()).await?;
+                return Ok(End::Server);
+            }
+            Ok(read) => read,
+            Err(e) => {
+                log::debug!("reading from the server of a tunnel failed: {e}");
+                return Ok(End::Reset);
+            }
+        };
         // A read of at most `FRAME_BYTES_MAX` bytes fits.
         buf[..LENGTH_BYTES].copy_from_slice(&(read as u32).to_be_bytes());
         to_peer.write_all(&buf[..LENGTH_BYTES + read]).await?;
