--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::{StreamExt, stream};
-use guavaspread_model::AdapterVersion;
+use guavaspread_model::{AdapterVersion, is_final_status};
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse, Connector};
 use ntex::http::error::PayloadError;
@@ -150,6 +150,9 @@
             false => http_req.send_body(req.body.to_vec()).await,
         };
         let res = sent.map_err(send_error)?;
+        if !is_final_status(res.status().as_u16()) {
+            return Err(Error::new(ErrorCode::Interrupted, res.status()));
+        }
         if res.status() == StatusCode::NOT_FOUND && res.headers().contains_key("x-adapter-missing")
         {
             return Err(Error::new(ErrorCode::NotLoaded, &req.path));
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -3,6 +3,7 @@
 use guavaspread_fleet::{
     AttemptOutcome, Attempts, ConnectionLoss, KnownVersion, PlacementKey, Server,
 };
+use guavaspread_model::is_final_status;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 
@@ -188,16 +189,21 @@
         in_flight: InFlight,
         record: &mut Record,
     ) -> Attempt {
+        let status = response.head.status;
+        if !is_final_status(status.as_u16()) {
+            response.close();
+            let detail = format!("an answer with the status {status}, which HTTP does not define");
+            return self.on_unproven_run(key, None, detail, record);
+        }
         if response_info.is_sealed || response_info.is_not_run() {
             self.entry.on_rate_limit_response(server, response_info, sent_at);
-            let is_rejected = response_info.is_not_run()
-                && response.head.status == StatusCode::SERVICE_UNAVAILABLE;
+            let is_rejected =
+                response_info.is_not_run() && status == StatusCode::SERVICE_UNAVAILABLE;
             self.entry.on_rejection_limit(server, response_info, is_rejected, sent_at);
         }
         if response_info.is_not_run() {
             return self.on_refusal(key, server, response, response_info, record);
         }
-        let status = response.head.status;
         if response_info.run_statement == RunStatement::Contradictory {
             response.close();
             let detail = format!("an answer {status} that says that the request did not run");
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 //! | describe a host | [`Host`], [`HostKind`], [`HostState`] |
 //! | rank hosts for a key | [`rendezvous_score`] |
 //! | recognize a repeated request | [`ContentId`] |
+//! | check the status of a response | [`is_final_status`] |
 //!
 //! ```
 //! use guavaspread_model::AdapterVersion;
@@ -28,6 +29,7 @@
 mod hash;
 mod host;
 mod name;
+mod status;
 
 pub mod prelude;
 
@@ -41,3 +43,4 @@
 pub use hash::{content_hash, rendezvous_score};
 pub use host::{Host, HostKind, HostState};
 pub use name::{AdapterVersion, Name};
+pub use status::is_final_status;
