--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -357,17 +357,17 @@
         timed.unwrap_or(Err(SendError::TimedOut(limit)))
     }
 
-    /// Records that a server refused a request without its id.
-    pub(crate) fn on_unnamed_refusal(&self, server_id: &Arc<str>, now: Duration) {
-        self.unnamed_responses.borrow_mut().on_refusal(server_id, now);
+    /// Records a response of a server without an id.
+    pub(crate) fn on_unnamed_response(&self, server_id: &Arc<str>, now: Duration) {
+        self.unnamed_responses.borrow_mut().on_response(server_id, now);
     }
 
     /// Returns whether a request may be sent to a server on a kept connection.
     ///
-    /// There, a refusal without an id does not prove that the request did not run, so that a request
-    /// that must not run twice could not be sent to another server.
+    /// There, a response without an id counts for nothing, so that an answer would be lost, or a
+    /// request that must not run twice could not be sent to another server.
     pub(crate) fn reuse(&self, server_id: &str, now: Duration) -> Reuse {
-        match self.unnamed_responses.borrow().has_refusal(server_id, now) {
+        match self.unnamed_responses.borrow().is_recent(server_id, now) {
             true => Reuse::Forbidden,
             false => Reuse::Allowed,
         }
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -97,8 +97,8 @@
         self.note_old_version(version, now, record);
         let response_info =
             self.entry.platform.protocol.parse_response(status, &response.head.headers);
-        if response_info.is_not_run() && response_info.id.is_none() {
-            self.entry.pool.on_unnamed_refusal(&server.id, now);
+        if response_info.id.is_none() {
+            self.entry.pool.on_unnamed_response(&server.id, now);
         }
         if self.is_foreign(&response, &response_info) {
             self.entry.metrics.foreign_responses.inc();
@@ -248,7 +248,7 @@
     fn is_foreign(&self, response: &ServerResponse, response_info: &ResponseInfo) -> bool {
         match response_info.id.as_deref() {
             Some(id) => *id != *self.info.id,
-            None => response_info.is_not_run() && !response.is_first_on_connection,
+            None => !response.is_first_on_connection,
         }
     }
 
--- a/crates/entry/src/unnamed_responses.rs
+++ b/crates/entry/src/unnamed_responses.rs
@@ -15,23 +15,21 @@
 
 /// The times of the last responses without an id, by the servers' ids.
 #[derive(Default)]
-pub(crate) struct UnnamedResponses {
-    refused_at: HashMap<Arc<str>, Duration>,
-}
+pub(crate) struct UnnamedResponses(HashMap<Arc<str>, Duration>);
 
 impl UnnamedResponses {
-    /// Records that a server refused a request, or seemed to, without its id.
-    pub(crate) fn on_refusal(&mut self, server_id: &Arc<str>, now: Duration) {
-        self.refused_at.insert(server_id.clone(), now);
+    /// Records a response of a server without an id.
+    pub(crate) fn on_response(&mut self, server_id: &Arc<str>, now: Duration) {
+        self.0.insert(server_id.clone(), now);
     }
 
-    /// Returns whether a server has lately refused a request without its id.
-    pub(crate) fn has_refusal(&self, server_id: &str, now: Duration) -> bool {
-        self.refused_at.get(server_id).is_some_and(|at| now < *at + UNNAMED_TTL)
+    /// Returns whether a server has lately sent a response without an id.
+    pub(crate) fn is_recent(&self, server_id: &str, now: Duration) -> bool {
+        self.0.get(server_id).is_some_and(|at| now < *at + UNNAMED_TTL)
     }
 
     /// Forgets a server that started or left.
     pub(crate) fn forget(&mut self, server_id: &str) {
-        self.refused_at.remove(server_id);
+        self.0.remove(server_id);
     }
 }
