Callers may read nothing for 15 s before the kernel closes their connections

Cause: TCP_USER_TIMEOUT, 2.5 s, which finds peers that are gone, also counts the time in which a peer reads nothing. It was set on callers' connections as on those between our processes.

Ruled out: the end of the process (the host without SIGTERM lost as many) and the limits of callers' connections, which concern heads and idle time.

Fix: callers' connections have 15 s of their own, longer than callers wait.

--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -43,8 +43,9 @@
 /// many buffers of the library's default size, 400 KiB, as a machine has connections would take all
 /// of its memory.
 const READ_BUFFER_BYTES: usize = 32 * 1_024;
-/// How long sent bytes may stay unacknowledged before the kernel closes a connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long sent bytes may stay unacknowledged before the kernel closes a connection to a server, to
+/// a peer or to the store.
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const TCP_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const TCP_KEEP_ALIVE_PROBES_MAX: u32 = 2;
@@ -96,10 +97,13 @@
 
 /// Sets the socket options that detect an unreachable peer, and disables Nagle's algorithm.
 ///
+/// The kernel closes the connection if sent bytes stay unacknowledged for `unacknowledged`, or if the
+/// peer reads nothing for as long.
+///
 /// # Errors
 ///
 /// Returns an error if an option can't be set.
-pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+pub fn set_socket_options(stream: &TcpStream, unacknowledged: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     let keep_alive = socket2::TcpKeepalive::new()
@@ -107,7 +111,7 @@
         .with_interval(TCP_KEEP_ALIVE_INTERVAL)
         .with_retries(TCP_KEEP_ALIVE_PROBES_MAX);
     socket.set_tcp_keepalive(&keep_alive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged))
 }
 
 /// Opens a TCP connection with the options of [`set_socket_options`].
@@ -118,7 +122,7 @@
 pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
-    set_socket_options(&stream)?;
+    set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     Ok(stream)
 }
 
--- a/crates/entry/src/http_server.rs
+++ b/crates/entry/src/http_server.rs
@@ -23,6 +23,9 @@
 
 /// Delay before the next `accept` after a failed one, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long a caller may leave sent bytes unacknowledged, or read nothing, before the kernel closes its
+/// connection. Shorter than a caller's time limit, it would cut answers to callers that read slowly.
+const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer of a connection, which bounds the head of a request. The limit in force may rise up
 /// to this size while the connection is open; beyond it, the connection is closed.
 const READ_BUFFER_BYTES: usize = 64 * 1_024;
@@ -58,7 +61,7 @@
 }
 
 async fn serve_caller(entry: Rc<EntryState>, stream: TcpStream, caller: IpAddr) {
-    if let Err(e) = set_socket_options(&stream) {
+    if let Err(e) = set_socket_options(&stream, CALLER_UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("setting socket options on a caller's connection failed: {e}");
     }
     let mut limits = entry.limits.subscribe();
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
 
-use crate::connection_pool::set_socket_options;
+use crate::connection_pool::{UNACKNOWLEDGED_TIMEOUT, set_socket_options};
 use crate::feed_relay;
 use crate::owned_engines::AdapterGuard;
 use crate::peer_message::{
@@ -36,7 +36,7 @@
 }
 
 async fn serve_connection(entry: Rc<EntryState>, stream: TcpStream, peer_ip: IpAddr) {
-    if let Err(e) = set_socket_options(&stream) {
+    if let Err(e) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("setting socket options on a peer's connection failed: {e}");
     }
     let mut framed = Framed::new(stream, codec());
