--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -17,6 +17,7 @@
 
 use crate::access::{self, Access, AccessParams, AdapterHold};
 use crate::body::{CallerBody, ForwardedBody, InFlight, Media, Outdated};
+use crate::body_budget::BodyShare;
 use crate::connection_pool::{Framing, ServerResponse};
 use crate::headers::strip_hop_by_hop;
 use crate::intake::prepare;
@@ -87,6 +88,7 @@
     pub(crate) content: ContentId,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    pub(crate) _body_share: BodyShare,
     /// When the response should begin, by the route's latency objective.
     pub(crate) response_due: Duration,
     /// The longest time to wait for an adapter to load.
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -8,11 +8,11 @@
 use hyper::body::Incoming;
 
 use crate::access::LOAD_TIMEOUT;
-use crate::collect::{CollectError, collect};
+use crate::collect::{CollectError, collect_within};
 use crate::forward::Call;
 use crate::prelude::*;
 use crate::record::Record;
-use crate::refusals::{malformed, no_configuration, stopping};
+use crate::refusals::{bodies_full, malformed, no_configuration, stopping};
 use crate::state::EntryState;
 
 /// How long a request waits for a process that has just started to load its configuration and
@@ -76,12 +76,14 @@
     let deadline = record.started() + timeout;
     let response_due = record.started() + route.latency_objective;
     let remaining = deadline.saturating_sub(entry.clock.now());
-    let collecting = collect(body, catalog.limits.body_bytes_max);
+    let mut body_share = entry.body_budget.share();
+    let collecting = collect_within(body, catalog.limits.body_bytes_max, &mut body_share);
     let body = match tokio::time::timeout(remaining, collecting).await {
         Ok(Ok(body)) => body,
         Ok(Err(CollectError::TooLarge)) => {
             return Err(Refusal::not_run(Code::BodyTooLarge, "the body exceeds the limit"));
         }
+        Ok(Err(CollectError::NoRoom)) => return Err(bodies_full()),
         Ok(Err(e @ CollectError::Incomplete(_))) => return Err(malformed(e.to_string())),
         Err(_) => return Err(Refusal::not_run(Code::RequestTimeout, "the body came too slowly")),
     };
@@ -100,6 +102,7 @@
         content,
         head,
         body,
+        _body_share: body_share,
         response_due,
         load_timeout: LOAD_TIMEOUT,
         deadline,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod access;
 mod admission;
 mod body;
+mod body_budget;
 mod caller_io;
 mod callers;
 mod clock;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 
+use crate::body_budget::BodyBudget;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_gossip::{self, CrashGossip};
 use crate::feed_relay::{self, FeedRelay};
@@ -167,6 +168,7 @@
         permit_issuer: RefCell::default(),
         crash_gossip: CrashGossip::default(),
         event_buffers: EventBuffers::default(),
+        body_budget: BodyBudget::default(),
         retry_shares: RefCell::new(RetryShares::new(cfg.retry_share, cfg.retry_slack)),
         stopping: watch::Sender::new(false),
         stop: Cell::default(),
--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -24,6 +24,8 @@
 const OVER_QUOTA_RETRY_AFTER_MIN_MS: u32 = 50;
 /// Shortest retry delay for quarantined content.
 const QUARANTINED_RETRY_AFTER_MIN_MS: u32 = 5_000;
+/// Retry delay while bodies take too much memory; a retry reaches another host.
+const BODIES_FULL_RETRY_AFTER_MS: u32 = 500;
 /// Retry delay while this host starts or stops; the retry then reaches a host that is ready.
 const NOT_READY_RETRY_AFTER_MS: u32 = 500;
 
@@ -70,6 +72,12 @@
         .with_retry_after_ms(millis(wait).max(OVER_QUOTA_RETRY_AFTER_MIN_MS))
 }
 
+/// Refuses a request because the bodies of others take the memory that this host has for them.
+pub(crate) fn bodies_full() -> Refusal {
+    Refusal::not_run(Code::BodiesFull, "the host has no memory for the body now")
+        .with_retry_after_ms(BODIES_FULL_RETRY_AFTER_MS)
+}
+
 /// Refuses a malformed request.
 pub(crate) fn malformed(detail: impl Into<String>) -> Refusal {
     Refusal::not_run(Code::MalformedRequest, detail)
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 use guavaspread_model::ContentId;
 use tokio::sync::{Notify, watch};
 
+use crate::body_budget::BodyBudget;
 use crate::caller_io::UnsentConnections;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_gossip::CrashGossip;
@@ -61,6 +62,8 @@
     pub(crate) retry_shares: RefCell<RetryShares>,
     /// What the streams of this host buffer of incomplete events.
     pub(crate) event_buffers: EventBuffers,
+    /// What the bodies of the requests of this host take of its memory.
+    pub(crate) body_budget: BodyBudget,
     /// When the list of hosts was last read for another purpose than a lease.
     pub(crate) hosts_read_at: Cell<Option<Duration>>,
     /// Hosts that announced themselves as coordinators since the leases were last read.
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -92,6 +92,8 @@
     OwnerLost = 1314, 503, "no entry host may load the adapter on its engine yet";
     /// The organisation sent more than its quota.
     OverQuota = 1315, 429, "the organisation is beyond its quota";
+    /// The bodies of other requests take the memory that the host has for them.
+    BodiesFull = 1316, 503, "the host has no memory for the body now";
     /// The backend server ended the response before it was complete.
     Cut = 1401, 502, "the answer was cut short";
     /// The backend server failed.
