Hosts follow the store to another address of the settings

Cause: the store's client kept the address with which it was created. The settings were read again, and nothing told it.

Ruled out: the reading of the settings after SIGHUP (other values take effect, and the log says that they were reloaded).

--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -161,6 +161,9 @@
     /// Closes the channels that carry no call, so that the next calls open new ones.
     fn close_idle_channels(&self);
 
+    /// Changes the address of the store for the calls that follow.
+    fn set_address(&self, address: SocketAddr);
+
     /// Reads all rows of a feed.
     ///
     /// # Errors
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -224,7 +224,10 @@
         match EntrySettings::read(&path) {
             Ok(cfg) if cfg == *entry.cfg.borrow() => {}
             Ok(cfg) => {
-                log::info!("settings reloaded; changed addresses take effect at the next start");
+                log::info!(
+                    "settings reloaded; changed addresses of this host take effect at the next start"
+                );
+                entry.platform.store.set_address(cfg.store);
                 entry.retry_shares.borrow_mut().set_limits(cfg.retry_share, cfg.retry_slack);
                 entry.cfg.replace(cfg);
             }
