--- a/crates/engine/tests/closed_connection.rs
+++ b/crates/engine/tests/closed_connection.rs
@@ -5,9 +5,11 @@
 
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
 
 use bytes::Bytes;
 use guavaspread_engine::{BackendClient, BackendRequest, Category, HttpBackendClient};
+use socket2::SockRef;
 
 const ROUNDS: usize = 20;
 
@@ -18,16 +20,21 @@
     AfterRequest,
     /// With unread bytes of the request, which resets the connection.
     MidRequest,
+    /// After it has read the whole request, with a reset.
+    ResetAfterRequest,
 }
 
 fn serve(mut stream: TcpStream, close: Close) {
     let mut buf = [0; 4_096];
     let size = match close {
-        Close::AfterRequest => buf.len(),
+        Close::AfterRequest | Close::ResetAfterRequest => buf.len(),
         Close::MidRequest => 10,
     };
     // The connection closes after this read, whatever it returns.
     let _ = stream.read(&mut buf[..size]);
+    if matches!(close, Close::ResetAfterRequest) {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
 }
 
 fn start_server(close: Close) -> SocketAddr {
@@ -64,7 +71,7 @@
 
 #[ntex::test]
 async fn request_on_a_closed_connection_may_have_run() {
-    for close in [Close::AfterRequest, Close::MidRequest] {
+    for close in [Close::AfterRequest, Close::MidRequest, Close::ResetAfterRequest] {
         let address = start_server(close);
         for (method, body) in [("GET", ""), ("POST", "body")] {
             for _ in 0..ROUNDS {
