--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -7,7 +7,7 @@
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::StatusCode;
-use ntex::time::{Millis, Seconds};
+use ntex::time::Millis;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -16,9 +16,11 @@
 
 const CALL_TIMEOUT_MS: u32 = 1_000;
 const RESPONSE_BYTES_MAX: usize = 64 * 1024 * 1024;
-const CONNECTION_LIFETIME: Seconds = Seconds(30);
 
 /// An HTTP client of the platform; must stay on one thread.
+///
+/// Each call has a connection of its own. Responses name no call, so that on a kept connection a late
+/// response would be read as that to the next call.
 #[derive(Clone)]
 pub struct HttpPlatformClient {
     client: Client,
@@ -44,7 +46,7 @@
     pub async fn new(address: SocketAddr) -> Result<Self> {
         // Not 0 ("no limit"): with 0 the pool never wakes a call that waits while another call
         // opens a connection.
-        let connector = Connector::default().limit(usize::MAX).lifetime(CONNECTION_LIFETIME);
+        let connector = Connector::default().limit(usize::MAX);
         let client = Client::builder()
             .connector::<()>(connector)
             .response_timeout(Millis(CALL_TIMEOUT_MS))
@@ -57,7 +59,7 @@
     }
 
     async fn read<T: DeserializeOwned>(&self, req: ClientRequest) -> Result<T> {
-        let res = req.send().await.map_err(send_error)?;
+        let res = req.force_close().send().await.map_err(send_error)?;
         if res.status() != StatusCode::OK {
             return Err(Error::new(ErrorCode::Unreachable, res.status()));
         }
@@ -99,7 +101,7 @@
 
     async fn commit(&self, tx: &Transaction) -> Result<CommitReceipt> {
         let req = self.client.post(format!("{}/table/commit", self.base_url));
-        let res = req.send_json(tx).await.map_err(send_error)?;
+        let res = req.force_close().send_json(tx).await.map_err(send_error)?;
         match res.status() {
             StatusCode::OK => parse(&res).await,
             StatusCode::CONFLICT => {
