--- a/crates/engine/tests/closed_connection.rs
+++ b/crates/engine/tests/closed_connection.rs
@@ -13,26 +13,26 @@
 
 const ROUNDS: usize = 20;
 
-/// When a server closes a connection.
+/// How a server closes a connection.
 #[derive(Clone, Copy, Debug)]
 enum Close {
     /// After it has read the whole request.
-    AfterRequest,
+    InOrder,
     /// With unread bytes of the request, which resets the connection.
-    MidRequest,
+    Unread,
     /// After it has read the whole request, with a reset.
-    ResetAfterRequest,
+    Reset,
 }
 
 fn serve(mut stream: TcpStream, close: Close) {
     let mut buf = [0; 4_096];
     let size = match close {
-        Close::AfterRequest | Close::ResetAfterRequest => buf.len(),
-        Close::MidRequest => 10,
+        Close::InOrder | Close::Reset => buf.len(),
+        Close::Unread => 10,
     };
     // The connection closes after this read, whatever it returns.
     let _ = stream.read(&mut buf[..size]);
-    if matches!(close, Close::ResetAfterRequest) {
+    if matches!(close, Close::Reset) {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
     }
 }
@@ -71,7 +71,7 @@
 
 #[ntex::test]
 async fn request_on_a_closed_connection_may_have_run() {
-    for close in [Close::AfterRequest, Close::MidRequest, Close::ResetAfterRequest] {
+    for close in [Close::InOrder, Close::Unread, Close::Reset] {
         let address = start_server(close);
         for (method, body) in [("GET", ""), ("POST", "body")] {
             for _ in 0..ROUNDS {
