--- a/review/15/case.py
+++ b/review/15/case.py
@@ -73,7 +73,7 @@
     store = Store()
     await store.start()
     engines = [LeavingEngine(store, f"i-engine{n}", "planner-llm", 20, zone="cz-central-a")
-               for n in (1, 2)]
+               for n in range(1, 9)]
     for engine in engines:
         engine.record = record
         await engine.start()
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -116,7 +116,7 @@
                 if await self.on_request(request[0], request[1], reader, writer) == "close":
                     return
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
+            pass  # The peer is gone, or this server has ended.
         finally:
             self.tasks.discard(task)
             writer.close()
@@ -645,10 +645,12 @@
 
     async def limited():
         hosts = []
+        this = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
         with tempfile.TemporaryDirectory() as tmp:
             try:
                 return await asyncio.wait_for(main(record, Path(tmp), trouble, hosts), 110)
-            except Exception as e:  # A fault of the case itself.
+            except (Exception, asyncio.CancelledError) as e:  # A fault of the case itself.
                 record.add(f"the case could not run: {e!r}")
                 if os.environ.get("KEEP_TRACE"):
                     raise
