--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -289,7 +289,16 @@
         let drain_time = Duration::from_millis(entry.cfg.borrow().drain_ms);
         let (entry, server) = (entry.clone(), server.clone());
         Some(Box::pin(async move {
-            end.is_complete(entry.server_accepts_connections(&server).await, drain_time)
+            let accepts_connections = entry.server_accepts_connections(&server).await;
+            let is_complete = end.is_complete(accepts_connections, drain_time);
+            if !accepts_connections {
+                log::info!(
+                    "server {} accepts no connections after its connection ended a response: \
+                     {end:?}, complete: {is_complete}",
+                    server.id
+                );
+            }
+            is_complete
         }))
     }
 
