--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -4,8 +4,7 @@
 use std::task::{Context, Poll};
 
 use guavaspread_fleet::{
-    AttemptOutcome, ConnectionLoss, EventScanner, PlacementKey, PromptParts, ResponseEnd, Server,
-    StreamPosition,
+    AttemptOutcome, ConnectionLoss, EventScanner, PlacementKey, PromptParts, Server, StreamPosition,
 };
 use guavaspread_model::ContentId;
 use http::header;
@@ -16,6 +15,7 @@
 use crate::access::AdapterHold;
 use crate::caller_io::ResetOnEnd;
 use crate::connection_pool::{Framing, ResponseBody, ServerResponse, is_timeout};
+use crate::end_check::{CheckedEnd, EndCheck, OpenResponse};
 use crate::prelude::*;
 use crate::record::Record;
 use crate::resume::{ResumeFuture, Resumed, Resumer};
@@ -44,6 +44,8 @@
     scanner: EventScanner,
     /// When the last bytes arrived.
     last_bytes_at: Duration,
+    /// Since when no bytes of the server have been at hand.
+    awaited_since: Option<Duration>,
     /// Resets the caller's connection if it ends before this body does; `None` if the caller can
     /// tell otherwise whether it has all of it.
     reset_on_end: Option<ResetOnEnd>,
@@ -74,9 +76,6 @@
 /// Completes when a response that has not begun by then may no longer begin.
 pub(crate) type Outdated = Pin<Box<dyn Future<Output = ()>>>;
 
-/// Returns whether the server ended the response itself.
-type EndCheck = Pin<Box<dyn Future<Output = bool>>>;
-
 /// Error that aborts a body, so that the caller does not take it for complete.
 #[derive(Debug)]
 pub(crate) struct IncompleteResponse;
@@ -159,6 +158,7 @@
             media,
             scanner: EventScanner::default(),
             last_bytes_at,
+            awaited_since: None,
             reset_on_end: None,
         }
     }
@@ -187,11 +187,7 @@
                     Poll::Pending => PollStep::Wait,
                 },
                 Source::Confirming(check) => match check.as_mut().poll(cx) {
-                    Poll::Ready(true) => self.on_confirmed_end(),
-                    Poll::Ready(false) => {
-                        let detail = "the server is gone since it ended the response".to_owned();
-                        self.on_connection_lost(detail, ConnectionLoss::Closed)
-                    }
+                    Poll::Ready(end) => self.on_checked_end(end),
                     Poll::Pending => PollStep::Wait,
                 },
                 Source::Resuming(resuming) => match resuming.as_mut().poll(cx) {
@@ -208,7 +204,10 @@
                     self.end("out-of-time");
                     return Poll::Ready(Some(Err(IncompleteResponse)));
                 }
-                PollStep::Wait => return Poll::Pending,
+                PollStep::Wait => {
+                    self.on_wait();
+                    return Poll::Pending;
+                }
             }
         }
     }
@@ -225,10 +224,26 @@
         is_outdated
     }
 
-    fn on_frame(&mut self, frame: Frame<Bytes>) -> PollStep {
-        if let Some(in_flight) = &self.in_flight {
-            self.last_bytes_at = in_flight.now();
+    /// Records since when bytes of the server are waited for.
+    fn on_wait(&mut self) {
+        if let (Source::Server(_), Some(in_flight)) = (&self.source, &self.in_flight) {
+            self.awaited_since.get_or_insert_with(|| in_flight.now());
         }
+    }
+
+    /// Records that bytes of the server have arrived.
+    fn on_bytes(&mut self) {
+        let since = self.awaited_since.take();
+        let Some(in_flight) = &self.in_flight else { return };
+        self.last_bytes_at = in_flight.now();
+        let open = in_flight.run.as_ref().and_then(|run| run.open.as_ref());
+        if let (Some(since), Some(open)) = (since, open) {
+            open.on_awaited_bytes(since, self.last_bytes_at);
+        }
+    }
+
+    fn on_frame(&mut self, frame: Frame<Bytes>) -> PollStep {
+        self.on_bytes();
         if let (Media::Events | Media::Unclear, Some(data)) = (self.media, frame.data_ref()) {
             self.scanner.push(data);
         }
@@ -266,40 +281,35 @@
             return self.on_connection_lost(detail.to_owned(), ConnectionLoss::Closed);
         }
         self.record_body_end();
-        if let Some(check) = self.end_check() {
+        if let Some(check) = self.start_end_check() {
             self.source = Source::Confirming(check);
             return PollStep::Repeat;
         }
         self.on_confirmed_end()
     }
 
-    /// Returns the check of a response that ended with its connection, as it also does when its
+    /// Starts the check of a response that ended with its connection, as it also does when its
     /// server crashes.
-    fn end_check(&self) -> Option<EndCheck> {
+    fn start_end_check(&mut self) -> Option<EndCheck> {
         let is_unframed = self.framing() == Some(Framing::Close);
-        let InFlight { entry, key, run, .. } = self.in_flight.as_ref().filter(|_| is_unframed)?;
-        let server = &run.as_ref()?.server;
-        let standing = {
-            let server_list = entry.server_list.borrow();
-            let listed = server_list.get(&server.id).map(|listed| &**listed);
-            entry.departures.borrow().standing(server, listed, entry.clock.now())
-        };
-        let has_others_in_flight = entry.placement.borrow().in_flight(*key) > 1;
-        let end = ResponseEnd { standing, has_others_in_flight };
-        let drain_time = Duration::from_millis(entry.cfg.borrow().drain_ms);
-        let (entry, server) = (entry.clone(), server.clone());
-        Some(Box::pin(async move {
-            let accepts_connections = entry.server_accepts_connections(&server).await;
-            let is_complete = end.is_complete(accepts_connections, drain_time);
-            if !accepts_connections {
-                log::info!(
-                    "server {} accepts no connections after its connection ended a response: \
-                     {end:?}, complete: {is_complete}",
-                    server.id
-                );
+        let is_resumable = self.resumer.is_some();
+        let InFlight { entry, run, .. } = self.in_flight.as_mut().filter(|_| is_unframed)?;
+        let Run { server, open, .. } = run.as_mut()?;
+        Some(entry.check_end(server, open.take()?, is_resumable))
+    }
+
+    /// Handles the result of the check.
+    fn on_checked_end(&mut self, end: CheckedEnd) -> PollStep {
+        if let Some(record) = &mut self.record {
+            record.on_end_checked(end);
+        }
+        match end.evidence {
+            Some(_) => self.on_confirmed_end(),
+            None => {
+                let detail = "nothing shows that the server ended the response".to_owned();
+                self.on_connection_lost(detail, ConnectionLoss::Closed)
             }
-            is_complete
-        }))
+        }
     }
 
     fn on_confirmed_end(&mut self) -> PollStep {
@@ -371,6 +381,7 @@
         self.record = Some(resumed.record);
         let Some((body, in_flight, resumer)) = resumed.continuation else { return self.abort() };
         self.scanner = EventScanner::default();
+        self.awaited_since = None;
         self.source = Source::Server(body);
         self.in_flight = Some(in_flight);
         self.resumer = Some(resumer);
@@ -477,6 +488,8 @@
     pub(crate) parts: PromptParts,
     /// What the response shows about the request once it is complete.
     pub(crate) response: ResponseKind,
+    /// `None` once the connection has ended the response.
+    pub(crate) open: Option<OpenResponse>,
 }
 
 /// What a complete response shows about its request.
@@ -508,7 +521,7 @@
 impl InFlight {
     /// Reports that the server's response is complete.
     fn on_completed(&self) {
-        let Some(Run { server, content, parts, response }) = &self.run else { return };
+        let Some(Run { server, content, parts, response, .. }) = &self.run else { return };
         match response {
             ResponseKind::Success => {
                 self.entry.on_completed(*content);
@@ -524,7 +537,10 @@
 
     /// Reports that the connection to the server was lost before the response was complete.
     pub(crate) fn on_connection_lost(&self, loss: ConnectionLoss) {
-        if let Some(Run { server, content, parts, .. }) = &self.run {
+        if let Some(Run { server, content, parts, open, .. }) = &self.run {
+            if let Some(open) = open.as_ref().filter(|_| loss == ConnectionLoss::Closed) {
+                open.on_connection_ended();
+            }
             self.entry.on_connection_lost(server, *content, parts, loss);
         }
     }
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -10,6 +10,7 @@
 use super::{Attempt, Call};
 use crate::body::{InFlight, ResponseKind, Run};
 use crate::connection_pool::{SendError, ServerPath, ServerResponse};
+use crate::end_check::OpenResponse;
 use crate::headers::strip_hop_by_hop;
 use crate::platform::{ForwardInfo, ResponseInfo, RunStatement};
 use crate::prelude::*;
@@ -42,6 +43,7 @@
             content: self.content,
             parts: self.info.prompt_parts.clone(),
             response: ResponseKind::Failure,
+            open: Some(OpenResponse::start(&self.entry, server)),
         });
         if !self.is_ready(server) {
             self.entry.metrics.sends_to_unavailable.inc();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod connection_pool;
 mod crash_gossip;
 mod crash_probe;
+mod end_check;
 mod engine_probes;
 mod feed_relay;
 mod forward;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the process, in the Prometheus text format.
 
-use guavaspread_fleet::StreamPosition;
+use guavaspread_fleet::{EndEvidence, StreamPosition};
 use http::Version;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -61,11 +61,33 @@
     }
 }
 
+/// Labels of the counter of responses that ended with their connection.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CheckedEndLabels {
+    /// What showed that the server ended the response itself.
+    evidence: &'static str,
+}
+
+impl CheckedEndLabels {
+    /// Returns the labels of a response that was found complete by this evidence, if any.
+    pub(crate) fn new(evidence: Option<EndEvidence>) -> Self {
+        let evidence = match evidence {
+            Some(EndEvidence::Accepts) => "accepts",
+            Some(EndEvidence::LaterBytes) => "later-bytes",
+            Some(EndEvidence::Left) => "left",
+            None => "none",
+        };
+        CheckedEndLabels { evidence }
+    }
+}
+
 /// The metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) ended: Family<RequestLabels, Counter>,
     pub(crate) body_ends: Family<BodyEndLabels, Counter>,
+    pub(crate) checked_ends: Family<CheckedEndLabels, Counter>,
+    pub(crate) end_check_seconds: Histogram,
     pub(crate) head_seconds: Histogram,
     pub(crate) load_wait_seconds: Histogram,
     pub(crate) under_way: Gauge,
@@ -131,6 +153,8 @@
             registry: Registry::with_prefix("guavaspread_entry"),
             ended: Family::default(),
             body_ends: Family::default(),
+            checked_ends: Family::default(),
+            end_check_seconds: seconds_histogram(),
             head_seconds: seconds_histogram(),
             load_wait_seconds: seconds_histogram(),
             under_way: Gauge::default(),
@@ -180,6 +204,16 @@
             "Streams' bodies that servers ended, whole or not",
             metrics.body_ends.clone(),
         );
+        registry.register(
+            "checked_ends",
+            "Responses that ended with their connection, by the evidence that they are complete",
+            metrics.checked_ends.clone(),
+        );
+        registry.register(
+            "end_check_seconds",
+            "Time until it was decided whether a response that ended with its connection is complete",
+            metrics.end_check_seconds.clone(),
+        );
         registry.register(
             "head_seconds",
             "Time from a request's arrival to forwarding the response head",
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -3,7 +3,7 @@
 //! Every failed request is logged. Of the successful ones, one in [`SUCCESS_SAMPLE`] is logged,
 //! so that the volume stays bounded under load.
 
-use guavaspread_fleet::{AttemptOutcome, StreamPosition};
+use guavaspread_fleet::{AttemptOutcome, EndEvidence, ServerStanding, StreamPosition};
 use guavaspread_model::ContentId;
 use guavaspread_telemetry::JSON_TARGET;
 use http::Version;
@@ -11,7 +11,8 @@
 
 use crate::access::GrantBasis;
 use crate::connection_pool::Framing;
-use crate::metrics::{BodyEndLabels, RequestLabels};
+use crate::end_check::CheckedEnd;
+use crate::metrics::{BodyEndLabels, CheckedEndLabels, RequestLabels};
 use crate::prelude::*;
 use crate::state::EntryState;
 
@@ -41,6 +42,9 @@
     Resumes { behind: Option<Arc<str>> },
     /// The body of a stream's server ended, after this many events.
     BodyEnded { framing: Framing, events: u64, inside_event: bool },
+    /// Whether a server ended the response itself was checked, as the response ended with its
+    /// connection.
+    EndChecked { standing: ServerStanding, evidence: Option<EndEvidence>, took_ms: u64 },
     /// The request's content is quarantined for this long, because it crashed servers.
     Held { left_ms: u64 },
     /// A part of the request's prompt is quarantined for this long.
@@ -160,6 +164,15 @@
         self.entry.metrics.body_ends.get_or_create(&labels).inc();
     }
 
+    /// Adds the check of a response that ended with its connection, and counts it.
+    pub(crate) fn on_end_checked(&mut self, end: CheckedEnd) {
+        let CheckedEnd { evidence, standing, took } = end;
+        self.add(Step::EndChecked { standing, evidence, took_ms: took.as_millis() as u64 });
+        let metrics = &self.entry.metrics;
+        metrics.checked_ends.get_or_create(&CheckedEndLabels::new(evidence)).inc();
+        metrics.end_check_seconds.observe(took.as_secs_f64());
+    }
+
     /// Sets how the request ended; `is_own` marks a response that this host generated.
     pub(crate) fn set_end(&mut self, status: u16, end: &'static str, is_own: bool) {
         self.end = Some((status, end, is_own));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -36,6 +36,9 @@
     pub lease_ms: u64,
     /// How long a draining server may still be sent requests, in milliseconds.
     pub drain_ms: u64,
+    /// The interval at which servers renew their rows, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// How long a configuration may take to come into force on this host, in milliseconds.
     pub apply_ms: u64,
     /// How long after a disturbance of its connections this host may be out of date, in
@@ -102,10 +105,18 @@
 const VERSION_MIN_MS: u64 = FEED_CYCLE_MIN_MS + VERSION_REST_MS;
 const CONTACT_MIN_MS: u64 = FEED_CYCLE_MIN_MS + STORE_READ_TIMEOUT_MS + STORE_CATCH_UP_MS;
 
+/// Longest interval at which servers renew their rows, in milliseconds. An end of a response may wait
+/// for longer than that.
+const HEARTBEAT_MAX_MS: u64 = 60_000;
+
 /// Longest graceful shutdown, in seconds. A time that no duration holds would end the process when
 /// it stops.
 const GRACE_MAX_S: f64 = 86_400.0;
 
+fn default_heartbeat_ms() -> u64 {
+    1_200
+}
+
 fn default_contact_ms() -> u64 {
     3_000
 }
@@ -196,6 +207,13 @@
         cycle_max.min(self.feed_cycle_max())
     }
 
+    /// Returns how long to wait for evidence that a server ended a response itself. The row of a
+    /// crashed server expires after two to three heartbeats, and must not be taken for that of a
+    /// server that left.
+    pub(crate) fn end_evidence_timeout(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms) * 3 / 2
+    }
+
     /// Returns how far quotas may be exceeded.
     pub(crate) fn quota_tolerance(&self) -> QuotaTolerance {
         QuotaTolerance {
@@ -227,6 +245,9 @@
         if self.drain_ms < STORE_CALL_MARGIN_MS * 2 {
             return Some(("drain-ms", "must be at least 1600"));
         }
+        if self.heartbeat_ms == 0 || self.heartbeat_ms > HEARTBEAT_MAX_MS {
+            return Some(("heartbeat-ms", "must be above 0 and at most 60000"));
+        }
         if self.apply_ms < STORE_CALL_MARGIN_MS * 2 {
             return Some(("apply-ms", "must be at least 1600"));
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use guavaspread_fleet::{
-    AdapterId, AdapterVersions, Availability, Catalog, CrashDetector, Departures, EventBuffers,
-    GrantCache, HostLease, LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer,
-    Placement, Quarantine, RejectionNotice, RequestLimits, RetryShares, Server, ServerChange,
+    AdapterId, AdapterVersions, Availability, Catalog, CrashDetector, EventBuffers, GrantCache,
+    HostLease, LeaseManager, LeaseTable, LostEngine, NamedLimit, PermitIssuer, Placement,
+    Quarantine, RejectionNotice, RequestLimits, ResponseEnds, RetryShares, Server, ServerChange,
     ServerCrash, ServerList, ServerNotice, StopSchedule, revision_era,
 };
 use guavaspread_model::ContentId;
@@ -54,8 +54,12 @@
     pub(crate) stream_versions: StreamVersions,
     /// Lost connections whose servers may have crashed.
     pub(crate) crash_detector: RefCell<CrashDetector>,
-    /// Servers that are known to leave.
-    pub(crate) departures: RefCell<Departures>,
+    /// What is known of servers whose connections ended responses.
+    pub(crate) response_ends: RefCell<ResponseEnds>,
+    /// Notified when there may be evidence on the end of a response.
+    pub(crate) ends_changed: Notify,
+    /// Whether changes of the servers' rows are read as they happen.
+    pub(crate) watches_departures: Cell<bool>,
     /// Contents that crashed servers.
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) crash_gossip: CrashGossip,
@@ -209,8 +213,10 @@
     pub(crate) fn on_server_changes(self: &Rc<Self>, changes: Vec<ServerChange>) {
         self.stream_versions.on_server_changes();
         let mut engines_changed = false;
+        let is_expiry_ruled_out = self.server_list.borrow().is_expiry_ruled_out(self.clock.now());
         for change in changes {
-            self.departures.borrow_mut().on_server_change(&change, self.clock.now());
+            let now = self.clock.now();
+            self.response_ends.borrow_mut().on_server_change(&change, is_expiry_ruled_out, now);
             let mut crashes =
                 self.crash_detector.borrow_mut().on_server_change(&change, self.clock.now());
             crashes.extend(self.crashed_loads(&change));
@@ -237,6 +243,7 @@
                 }
             }
         }
+        self.on_ends_changed();
         if engines_changed {
             self.sync_engines();
         }
@@ -278,7 +285,7 @@
         if self.placement.borrow_mut().on_server_notice(server, notice, self.clock.now()) {
             log::info!("server {} sent a notice: {notice:?}", server.id);
             if notice.is_draining {
-                self.departures.borrow_mut().on_leaving(server, self.clock.now());
+                self.response_ends.borrow_mut().on_leaving(server, self.clock.now());
             }
         }
         self.on_rate_limit(server, notice.rate_limit);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,7 +34,7 @@
 //! | divide the retry budget of a service among hosts | [`RetryShares`] |
 //! | forward only complete events of a stream | [`EventFramer`] |
 //! | tell a complete stream from one that broke off | [`EventScanner`], [`StreamPosition`] |
-//! | tell a complete response without a length from a cut one | [`ResponseEnd`], [`Departures`] |
+//! | tell a complete response without a length from a cut one | [`ResponseEnds`], [`EndAction`] |
 //! | know which software version began a stream | [`VersionHistory`] |
 //! | decide what a stopping host still does | [`StopSchedule`], [`StopAction`] |
 //! | decide whether a failed attempt may be retried | [`Attempts`], [`RetryDecision`] |
@@ -123,7 +123,7 @@
 pub use rate_limit::{LimitChange, LimitReport, NamedLimit, RateLimit, RateLimits};
 pub use reachability::{PathChange, Reachability};
 pub use renewal_batch::{RENEWAL_BATCH_DELAY, RenewalBatch};
-pub use response_end::{Departures, ResponseEnd, ServerStanding};
+pub use response_end::{EndAction, EndEvidence, ResponseEnd, ResponseEnds, ServerStanding};
 pub use retry_shares::RetryShares;
 pub use revision::{ERA_MAX, revision, revision_era, revision_number};
 pub use server_list::{
--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -2,112 +2,339 @@
 //!
 //! A response without a length or chunks ends with its connection, and so does one whose server
 //! crashed or ran out of time: the kernel closes the connections of a dead process in order. The
-//! end is taken for the server's own only if there is evidence:
+//! end is taken for the server's own only if there is evidence that the process outlived it:
 //!
-//! - a server that still accepts connections after the end was alive when it ended the response;
-//! - a server that leaves in order serves for a known time, exits after its last response, and
-//!   then accepts no more connections.
+//! - the server accepts connections after the end;
+//! - another response of the process goes on with bytes that were sent after the end;
+//! - the server had announced that it leaves, and its row is removed soon after the end. A server
+//!   that leaves exits after its last response and is removed at once, while the row of one that
+//!   crashed expires after several heartbeats.
 //!
-//! A server that leaves at short notice ends what it runs when its time is over. Where a newer
+//! The first kind is at hand at the end, the others come later, so that an end may have to wait. A
+//! server that leaves at short notice ends what it runs when its time is over. Where a newer
 //! incarnation is known, connections show nothing about the one that responded.
 
+use serde::Serialize;
+
 use crate::prelude::*;
 use crate::server_list::{Server, ServerChange, ServerState};
 
-/// The maximum number of remembered departures: far more than servers leave within the time that a
-/// response takes.
-const DEPARTURES_MAX: usize = 4_096;
+/// How much later than the end of one connection bytes that were sent before it may arrive on
+/// another: the kernel sends a lost packet again after 200 ms at the earliest.
+const ARRIVAL_SKEW_MAX: Duration = Duration::from_millis(250);
+/// Bytes that arrived before they were waited for are read within this time.
+const BUFFERED_READ_TIME: Duration = Duration::from_millis(5);
+/// A process that ends closes all its connections within this time.
+const EXIT_TIME: Duration = Duration::from_millis(20);
+/// How long before the end of a connection the removal of its server's row may be noticed: both
+/// arrive on connections of their own.
+const REMOVAL_LEAD_MAX: Duration = Duration::from_millis(100);
+/// How long a process is remembered after the last event; its responses end before.
+const PROCESS_TTL: Duration = Duration::from_secs(60);
+/// The maximum number of remembered processes without open responses.
+const PROCESSES_MAX: usize = 4_096;
 
 /// What is known of a server whose connection ended a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ServerStanding {
     /// The server serves.
     Serving,
-    /// The server announced for this long that it leaves, or its row is gone since.
-    Leaving(Duration),
+    /// The server announced that it leaves, and is still listed.
+    Leaving,
+    /// The server announced that it leaves, and its row was removed at this time.
+    Left(Duration),
+    /// The server's row was removed without an announcement.
+    Unlisted,
     /// The server leaves at short notice.
     LeavingAtShortNotice,
     /// Another incarnation took the server's place.
     Replaced,
 }
 
+/// The evidence that a server ended a response itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndEvidence {
+    /// The server accepted a connection after the end.
+    Accepts,
+    /// Another response of the server went on after the end.
+    LaterBytes,
+    /// The server left in order.
+    Left,
+}
+
 /// The end of a connection that also ended a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseEnd {
-    /// What was known of the server.
-    pub standing: ServerStanding,
-    /// Whether this host had other requests in flight at the server.
-    pub has_others_in_flight: bool,
+    /// When the connection ended.
+    pub at: Duration,
+    /// Until when to wait for evidence.
+    pub wait_until: Duration,
 }
 
-impl ResponseEnd {
-    /// Returns whether the server ended the response itself; `accepts_connections` is whether it
-    /// did so after the end, and `drain_time` how long a server serves that leaves in order.
-    pub fn is_complete(&self, accepts_connections: bool, drain_time: Duration) -> bool {
-        match self.standing {
-            ServerStanding::Replaced => false,
-            ServerStanding::Serving | ServerStanding::LeavingAtShortNotice => accepts_connections,
-            // Hosts learn of the departure later than the store, so a part of the time is enough.
-            ServerStanding::Leaving(time) => {
-                accepts_connections || (time >= drain_time / 2 && !self.has_others_in_flight)
-            }
+/// What to do with a response that ended with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndAction {
+    /// The response is complete.
+    Complete(EndEvidence),
+    /// Nothing shows that it is complete.
+    BreakOff,
+    /// Decide again when something has changed, or at this time.
+    WaitUntil(Duration),
+}
+
+/// The id of a server and the start time of one of its incarnations.
+type Incarnation = (Arc<str>, u64);
+
+/// What this host has seen of a server's process.
+#[derive(Clone, Debug, Default)]
+struct Process {
+    /// Responses that are still arriving, or awaited.
+    open: u32,
+    /// Responses whose end is being checked.
+    checked: u32,
+    /// When connections ended a response or broke one off, within the last [`EXIT_TIME`]s.
+    ends: Vec<Duration>,
+    /// The latest time at which the process is known to have been alive, and what shows it.
+    alive_at: Option<(Duration, EndEvidence)>,
+    /// When the server was first known to leave.
+    leaving_since: Option<Duration>,
+    /// When the row of the leaving server was removed.
+    left_at: Option<Duration>,
+    updated_at: Duration,
+}
+
+impl Process {
+    /// Returns whether nothing of the process needs to be remembered.
+    fn is_unremarkable(&self) -> bool {
+        self.is_idle() && self.ends.is_empty() && self.leaving_since.is_none()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.open == 0 && self.checked == 0
+    }
+
+    /// Returns whether another connection ended at the same moment, as all do when the process
+    /// ends.
+    fn ended_with_others(&self, at: Duration) -> bool {
+        self.ends.iter().filter(|end| end.abs_diff(at) < EXIT_TIME).count() > 1
+    }
+
+    fn on_alive(&mut self, at: Duration, evidence: EndEvidence) {
+        if self.alive_at.is_none_or(|(known, _)| known < at) {
+            self.alive_at = Some((at, evidence));
         }
     }
 }
 
-/// When servers were first known to leave.
+/// The evidence on the ends of responses of all servers.
 #[derive(Clone, Debug, Default)]
-pub struct Departures {
-    since: BTreeMap<(Arc<str>, u64), Duration>,
+pub struct ResponseEnds {
+    processes: BTreeMap<Incarnation, Process>,
+    /// The number of ends that are being checked.
+    checked: usize,
 }
 
-impl Departures {
+impl ResponseEnds {
+    /// Returns whether the end of a response is being checked.
+    pub fn has_checks(&self) -> bool {
+        self.checked > 0
+    }
+
+    /// Returns whether the end of a response of a leaving server is being checked.
+    pub fn awaits_departure(&self) -> bool {
+        let mut processes = self.processes.values();
+        self.has_checks() && processes.any(|p| p.checked > 0 && p.leaving_since.is_some())
+    }
+
+    /// Counts a response as open.
+    pub fn on_response_opened(&mut self, server: &Server) {
+        self.processes.entry(incarnation(server)).or_default().open += 1;
+    }
+
+    /// Counts a response as no longer open.
+    pub fn on_response_closed(&mut self, server: &Server) {
+        self.update(server, |process| process.open = process.open.saturating_sub(1));
+    }
+
+    /// Records that a connection ended a response or broke one off.
+    pub fn on_connection_ended(&mut self, server: &Server, now: Duration) {
+        let process = self.process(server, now);
+        process.ends.retain(|end| now < *end + EXIT_TIME * 2 || process.checked > 0);
+        process.ends.push(now);
+    }
+
+    /// Counts an end as being checked.
+    pub fn on_check_started(&mut self, server: &Server, now: Duration) {
+        self.process(server, now).checked += 1;
+        self.checked += 1;
+    }
+
+    /// Counts an end as no longer being checked.
+    pub fn on_check_ended(&mut self, server: &Server) {
+        self.checked = self.checked.saturating_sub(1);
+        self.update(server, |process| process.checked = process.checked.saturating_sub(1));
+    }
+
+    /// Records that the server accepted a connection that was opened at `opened_at`.
+    pub fn on_accepted(&mut self, server: &Server, opened_at: Duration) {
+        self.update(server, |process| process.on_alive(opened_at, EndEvidence::Accepts));
+    }
+
+    /// Records bytes of a response that were waited for since `since`, when none were at hand.
+    pub fn on_awaited_bytes(&mut self, server: &Server, since: Duration, now: Duration) {
+        if now < since + BUFFERED_READ_TIME {
+            return;
+        }
+        let sent_after = since.saturating_sub(ARRIVAL_SKEW_MAX);
+        self.update(server, |process| process.on_alive(sent_after, EndEvidence::LaterBytes));
+    }
+
     /// Records that a server leaves.
     pub fn on_leaving(&mut self, server: &Server, now: Duration) {
-        if self.since.len() >= DEPARTURES_MAX {
-            let first = self.since.iter().min_by_key(|(_, since)| **since);
-            if let Some(first) = first.map(|(server, _)| server.clone()) {
-                self.since.remove(&first);
-            }
-        }
-        self.since.entry((server.id.clone(), server.started_at_ms)).or_insert(now);
+        self.process(server, now).leaving_since.get_or_insert(now);
     }
 
-    /// Applies a change of the server list.
-    pub fn on_server_change(&mut self, change: &ServerChange, now: Duration) {
+    /// Applies a change of the server list; `is_expiry_ruled_out` is whether rows of running servers
+    /// have not expired in an outage of the store.
+    pub fn on_server_change(
+        &mut self,
+        change: &ServerChange,
+        is_expiry_ruled_out: bool,
+        now: Duration,
+    ) {
+        self.expire(now);
         match change {
-            ServerChange::Draining(server) | ServerChange::Removed(server) => {
+            ServerChange::Removed(server) => {
+                let announced = ServerState::Draining { remaining: None };
                 self.on_leaving(server, now);
+                if server.state == announced && is_expiry_ruled_out {
+                    self.process(server, now).left_at = Some(now);
+                }
             }
-            ServerChange::Started(server) | ServerChange::Changed(server) if !server.is_ready() => {
+            ServerChange::Draining(server)
+            | ServerChange::Started(server)
+            | ServerChange::Changed(server)
+                if !server.is_ready() =>
+            {
                 self.on_leaving(server, now);
             }
             // The row of a server that was partitioned is back.
             ServerChange::Started(server) => {
-                self.since.remove(&(server.id.clone(), server.started_at_ms));
+                self.update(server, |process| {
+                    (process.leaving_since, process.left_at) = (None, None);
+                });
             }
-            ServerChange::Changed(_) => {}
+            ServerChange::Draining(_) | ServerChange::Changed(_) => {}
         }
     }
 
     /// Returns what is known of `server`, the incarnation that responded; `listed` is the server
     /// with its id in the list.
-    pub fn standing(
-        &self,
-        server: &Server,
-        listed: Option<&Server>,
-        now: Duration,
-    ) -> ServerStanding {
-        let since = self.since.get(&(server.id.clone(), server.started_at_ms));
+    pub fn standing(&self, server: &Server, listed: Option<&Server>) -> ServerStanding {
+        let process = self.processes.get(&incarnation(server));
+        let leaves = process.is_some_and(|process| process.leaving_since.is_some());
         match listed {
             Some(listed) if !listed.is_same_process(server) => ServerStanding::Replaced,
             Some(Server { state: ServerState::Draining { remaining: Some(_) }, .. }) => {
                 ServerStanding::LeavingAtShortNotice
             }
-            Some(_) | None => match since {
-                Some(since) => ServerStanding::Leaving(now.saturating_sub(*since)),
-                None => ServerStanding::Serving,
+            Some(_) if leaves => ServerStanding::Leaving,
+            Some(_) => ServerStanding::Serving,
+            None => match process.and_then(|process| process.left_at) {
+                Some(at) => ServerStanding::Left(at),
+                None => ServerStanding::Unlisted,
             },
         }
     }
+
+    /// Returns what to do with a response of `server` that ended with its connection; `listed` is
+    /// the server with its id in the list, and `drain_time` how long a server serves that leaves in
+    /// order.
+    pub fn next_action(
+        &self,
+        (server, listed): (&Server, Option<&Server>),
+        end: ResponseEnd,
+        drain_time: Duration,
+        now: Duration,
+    ) -> EndAction {
+        let standing = self.standing(server, listed);
+        let Some(process) = self.processes.get(&incarnation(server)) else {
+            return EndAction::BreakOff;
+        };
+        if standing == ServerStanding::Replaced {
+            return EndAction::BreakOff;
+        }
+        if let Some((at, evidence)) = process.alive_at
+            && at >= end.at
+        {
+            return EndAction::Complete(evidence);
+        }
+        // Responses that end together were cut off, even by an exit in order.
+        let ended_alone = !process.ended_with_others(end.at);
+        let has_left = match standing {
+            ServerStanding::Left(at) => end.at <= at + REMOVAL_LEAD_MAX,
+            _ => false,
+        };
+        if has_left && ended_alone {
+            return EndAction::Complete(EndEvidence::Left);
+        }
+        if is_presumed_last(process, standing, drain_time, end.at) {
+            return EndAction::Complete(EndEvidence::Left);
+        }
+        let may_leave = standing == ServerStanding::Leaving && ended_alone;
+        if now >= end.wait_until || !(may_leave || process.open > 0) {
+            return EndAction::BreakOff;
+        }
+        EndAction::WaitUntil(end.wait_until)
+    }
+
+    fn process(&mut self, server: &Server, now: Duration) -> &mut Process {
+        let process = self.processes.entry(incarnation(server)).or_default();
+        process.updated_at = now;
+        process
+    }
+
+    /// Changes a known process, and forgets it if nothing of it is remarkable then.
+    fn update(&mut self, server: &Server, change: impl FnOnce(&mut Process)) {
+        let incarnation = incarnation(server);
+        let Some(process) = self.processes.get_mut(&incarnation) else { return };
+        change(process);
+        if process.is_unremarkable() {
+            self.processes.remove(&incarnation);
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let is_kept =
+            |process: &Process| !process.is_idle() || now < process.updated_at + PROCESS_TTL;
+        self.processes.retain(|_, process| is_kept(process));
+        while self.processes.len() > PROCESSES_MAX {
+            let idle = self.processes.iter().filter(|(_, process)| process.is_idle());
+            let oldest = idle.min_by_key(|(_, process)| process.updated_at);
+            let Some(oldest) = oldest.map(|(incarnation, _)| incarnation.clone()) else { return };
+            self.processes.remove(&oldest);
+        }
+    }
+}
+
+/// Returns whether the only response of a server that has long been leaving ended with it.
+fn is_presumed_last(
+    process: &Process,
+    standing: ServerStanding,
+    drain_time: Duration,
+    ended_at: Duration,
+) -> bool {
+    let leaves = matches!(
+        standing,
+        ServerStanding::Leaving | ServerStanding::Left(_) | ServerStanding::Unlisted
+    );
+    // Hosts learn of the departure later than the store, so a part of the time is enough.
+    let has_served = process.leaving_since.is_some_and(|since| ended_at >= since + drain_time / 2);
+    leaves && has_served && process.open == 0 && process.checked <= 1
+}
+
+fn incarnation(server: &Server) -> Incarnation {
+    (server.id.clone(), server.started_at_ms)
 }
--- a/crates/fleet/src/server_list.rs
+++ b/crates/fleet/src/server_list.rs
@@ -190,6 +190,12 @@
         self.outage_since.get_or_insert(now);
     }
 
+    /// Returns whether rows of running servers have not expired in an outage of the store, so that a
+    /// missing row tells that its server is gone.
+    pub fn is_expiry_ruled_out(&self, now: Duration) -> bool {
+        self.outage_since.is_none() && now >= self.keep_missing_until
+    }
+
     /// Records a successful read of the store; ends an outage.
     pub fn on_store_read(&mut self, now: Duration) {
         if self.outage_since.take().is_some_and(|since| now >= since + OUTAGE_MIN) {
--- a/crates/fleet/tests/open_connections.rs
+++ b/crates/fleet/tests/open_connections.rs
@@ -1,17 +1,10 @@
-//! The limits of callers' connections, the timing of feeds, and the ends of responses.
+//! The limits of callers' connections and the timing of feeds.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
 
-mod common;
-
-use std::sync::Arc;
 use std::time::Duration;
 
-use common::server;
-use guavaspread_fleet::{
-    CallerConnection, ConnectionAction, Departures, FeedTiming, RequestLimits, ResponseEnd, Server,
-    ServerChange, ServerStanding, ServerState,
-};
+use guavaspread_fleet::{CallerConnection, ConnectionAction, FeedTiming, RequestLimits};
 use test_case::test_case;
 
 fn ms(ms: u64) -> Duration {
@@ -84,43 +77,3 @@
     let expected = FeedTiming { interval: ms(bounded_interval), wait: ms(bounded_wait) };
     assert_eq!(timing.bounded(ms(sum_max), ms(100)), expected);
 }
-
-#[test_case(ServerStanding::Serving, true, false, true; "alive")]
-#[test_case(ServerStanding::Serving, false, false, false; "crashed")]
-#[test_case(ServerStanding::Leaving(ms(100)), true, true, true; "drains")]
-#[test_case(ServerStanding::Leaving(ms(999)), false, false, false; "crashed while draining")]
-#[test_case(ServerStanding::Leaving(ms(1_000)), false, false, true; "exits after its last response")]
-#[test_case(ServerStanding::Leaving(ms(9_000)), false, true, false; "exits with requests in flight")]
-#[test_case(ServerStanding::LeavingAtShortNotice, true, false, true; "has time left")]
-#[test_case(ServerStanding::LeavingAtShortNotice, false, false, false; "its time is over")]
-#[test_case(ServerStanding::Replaced, true, false, false; "another incarnation accepts")]
-fn a_response_is_complete_only_with_evidence(
-    standing: ServerStanding,
-    accepts_connections: bool,
-    has_others_in_flight: bool,
-    is_complete: bool,
-) {
-    let end = ResponseEnd { standing, has_others_in_flight };
-    assert_eq!(end.is_complete(accepts_connections, ms(2_000)), is_complete);
-}
-
-#[test]
-fn a_departure_is_known_until_the_server_is_listed_again() {
-    let mut departures = Departures::default();
-    let draining = |remaining| Server { state: ServerState::Draining { remaining }, ..server("a") };
-    let standing = |departures: &Departures, listed: Option<&Server>, now| {
-        departures.standing(&server("a"), listed, now)
-    };
-    assert_eq!(standing(&departures, Some(&server("a")), ms(5)), ServerStanding::Serving);
-    departures.on_server_change(&ServerChange::Draining(Arc::new(draining(None))), ms(10));
-    departures.on_server_change(&ServerChange::Removed(Arc::new(draining(None))), ms(400));
-    let leaving = ServerStanding::Leaving(ms(990));
-    assert_eq!(standing(&departures, Some(&draining(None)), ms(1_000)), leaving);
-    assert_eq!(standing(&departures, None, ms(1_000)), leaving);
-    let short = ServerStanding::LeavingAtShortNotice;
-    assert_eq!(standing(&departures, Some(&draining(Some(ms(1)))), ms(1_000)), short);
-    let newer = Server { started_at_ms: 2, ..server("a") };
-    assert_eq!(standing(&departures, Some(&newer), ms(1_000)), ServerStanding::Replaced);
-    departures.on_server_change(&ServerChange::Started(Arc::new(server("a"))), ms(2_000));
-    assert_eq!(standing(&departures, Some(&server("a")), ms(2_000)), ServerStanding::Serving);
-}
--- /dev/null
+++ b/crates/fleet/tests/response_ends.rs
@@ -0,0 +1,184 @@
+//! Whether responses that end with their connection are complete, by the evidence on their servers.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::server;
+use guavaspread_fleet::{
+    EndAction, EndEvidence, ResponseEnd, ResponseEnds, Server, ServerChange, ServerStanding,
+    ServerState,
+};
+use test_case::test_case;
+
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+const ENDED_AT: Duration = Duration::from_millis(10_000);
+const WAIT_UNTIL: Duration = Duration::from_millis(11_800);
+
+const ACCEPTS: EndAction = EndAction::Complete(EndEvidence::Accepts);
+const LATER_BYTES: EndAction = EndAction::Complete(EndEvidence::LaterBytes);
+const LEFT: EndAction = EndAction::Complete(EndEvidence::Left);
+const WAIT: EndAction = EndAction::WaitUntil(WAIT_UNTIL);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn draining(remaining: Option<Duration>) -> Server {
+    Server { state: ServerState::Draining { remaining }, ..server("a") }
+}
+
+/// What happens to a server and to this host's responses from it.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A response is under way.
+    Opened,
+    /// The row tells that the server leaves.
+    Draining,
+    ShortNotice,
+    /// The row is removed, and rows may have expired in an outage or not.
+    Removed {
+        is_expiry_ruled_out: bool,
+    },
+    /// A newer incarnation is listed.
+    Replaced,
+    /// Another response ends with its connection or breaks off, and is no longer open.
+    OtherEnded,
+    /// The response in question ends.
+    Ended,
+    /// The server accepts a connection that was opened now.
+    Accepts,
+    /// Bytes of another response arrive that were waited for this long.
+    Bytes {
+        awaited: u64,
+    },
+}
+
+use Event::{Accepts, Bytes, Draining, Ended, Opened, OtherEnded, Removed, Replaced, ShortNotice};
+
+const REMOVED: Event = Removed { is_expiry_ruled_out: true };
+
+/// Applies the events at their times, in ms; returns what is decided at the last one's.
+fn action(events: &[(u64, Event)]) -> EndAction {
+    let mut ends = ResponseEnds::default();
+    let mut listed = Some(server("a"));
+    let mut now = Duration::ZERO;
+    for (at, event) in events {
+        now = ms(*at);
+        let mut change = |change: ServerChange, is_expiry_ruled_out| {
+            ends.on_server_change(&change, is_expiry_ruled_out, now);
+        };
+        match event {
+            Opened => ends.on_response_opened(&server("a")),
+            Draining | ShortNotice => {
+                let remaining = matches!(event, ShortNotice).then_some(ms(2_000));
+                listed = Some(draining(remaining));
+                change(ServerChange::Draining(Arc::new(draining(remaining))), true);
+            }
+            Removed { is_expiry_ruled_out } => {
+                let removed = listed.take().unwrap();
+                change(ServerChange::Removed(Arc::new(removed)), *is_expiry_ruled_out);
+            }
+            Replaced => listed = Some(Server { started_at_ms: 2, ..server("a") }),
+            OtherEnded => {
+                ends.on_connection_ended(&server("a"), now);
+                ends.on_response_closed(&server("a"));
+            }
+            Ended => {
+                assert_eq!(now, ENDED_AT);
+                ends.on_connection_ended(&server("a"), now);
+                ends.on_check_started(&server("a"), now);
+                ends.on_response_closed(&server("a"));
+            }
+            Accepts => ends.on_accepted(&server("a"), now),
+            Bytes { awaited } => ends.on_awaited_bytes(&server("a"), now - ms(*awaited), now),
+        }
+    }
+    let end = ResponseEnd { at: ENDED_AT, wait_until: WAIT_UNTIL };
+    ends.next_action((&server("a"), listed.as_ref()), end, DRAIN_TIME, now)
+}
+
+#[test_case(&[(0, Opened), (10_000, Ended), (10_000, Accepts)] => ACCEPTS; "alive")]
+#[test_case(&[(0, Opened), (10_000, Ended)] => EndAction::BreakOff; "crashed")]
+#[test_case(&[(0, Opened), (10_000, Ended), (10_000, Accepts), (10_001, Replaced)]
+    => EndAction::BreakOff; "another incarnation accepts")]
+#[test_case(&[(0, Opened), (9_900, Draining), (10_000, Ended), (10_000, Accepts)] => ACCEPTS;
+    "drains")]
+#[test_case(&[(0, Opened), (0, ShortNotice), (10_000, Ended), (10_000, Accepts)] => ACCEPTS;
+    "has time left")]
+#[test_case(&[(0, Opened), (0, ShortNotice), (10_000, Ended)] => EndAction::BreakOff;
+    "its time is over")]
+#[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended)] => WAIT; "leaves")]
+#[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended), (10_050, REMOVED)] => LEFT;
+    "exits after its last response")]
+#[test_case(&[(0, Opened), (9_001, Draining), (9_950, REMOVED), (10_000, Ended)] => LEFT;
+    "the removal is noticed before the end")]
+#[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended),
+    (10_050, Removed { is_expiry_ruled_out: false })] => EndAction::BreakOff;
+    "the row may have expired in an outage")]
+#[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended), (11_800, Bytes { awaited: 0 })]
+    => EndAction::BreakOff; "crashed while it left")]
+#[test_case(&[(0, Opened), (0, Opened), (0, Draining), (9_900, OtherEnded), (10_000, Ended),
+    (10_050, REMOVED)] => LEFT; "exits after its last two responses")]
+fn a_response_is_complete_only_with_evidence(events: &[(u64, Event)]) -> EndAction {
+    action(events)
+}
+
+/// Another response of the process tells by bytes that were sent after the end.
+#[test_case(&[(10_030, Bytes { awaited: 30 })] => WAIT; "sent before the end, as far as is known")]
+#[test_case(&[(10_280, Bytes { awaited: 31 })] => WAIT; "waited for since just before that")]
+#[test_case(&[(10_280, Bytes { awaited: 30 })] => LATER_BYTES; "sent after the end")]
+#[test_case(&[(10_900, Bytes { awaited: 2 })] => WAIT; "that may have arrived before the end")]
+#[test_case(&[(10_280, Bytes { awaited: 30 }), (10_281, OtherEnded)] => LATER_BYTES; "and its end")]
+#[test_case(&[(10_003, OtherEnded)] => EndAction::BreakOff; "that ends in the same moment")]
+#[test_case(&[(10_100, OtherEnded)] => EndAction::BreakOff; "that ends soon")]
+#[test_case(&[(10_100, REMOVED)] => WAIT; "of a server without a row")]
+#[test_case(&[(11_800, Bytes { awaited: 0 })] => EndAction::BreakOff; "that falls silent")]
+fn another_response_shows_that_the_server_is_alive(events: &[(u64, Event)]) -> EndAction {
+    let start = [(0, Opened), (0, Opened), (10_000, Ended)];
+    action(&[&start, events].concat())
+}
+
+#[test]
+fn a_departure_is_known_until_the_server_is_listed_again() {
+    let mut ends = ResponseEnds::default();
+    let standing =
+        |ends: &ResponseEnds, listed: Option<&Server>| ends.standing(&server("a"), listed);
+    assert_eq!(standing(&ends, Some(&server("a"))), ServerStanding::Serving);
+    assert_eq!(standing(&ends, None), ServerStanding::Unlisted);
+    ends.on_server_change(&ServerChange::Draining(Arc::new(draining(None))), true, ms(10));
+    assert_eq!(standing(&ends, Some(&draining(None))), ServerStanding::Leaving);
+    ends.on_server_change(&ServerChange::Removed(Arc::new(draining(None))), true, ms(400));
+    assert_eq!(standing(&ends, None), ServerStanding::Left(ms(400)));
+    let short = ServerStanding::LeavingAtShortNotice;
+    assert_eq!(standing(&ends, Some(&draining(Some(ms(1))))), short);
+    let newer = Server { started_at_ms: 2, ..server("a") };
+    assert_eq!(standing(&ends, Some(&newer)), ServerStanding::Replaced);
+    ends.on_server_change(&ServerChange::Started(Arc::new(server("a"))), true, ms(2_000));
+    assert_eq!(standing(&ends, Some(&server("a"))), ServerStanding::Serving);
+    assert_eq!(standing(&ends, None), ServerStanding::Unlisted);
+}
+
+/// A server that announces in a response that it leaves, before its row does.
+#[test]
+fn a_notice_is_an_announcement() {
+    let mut ends = ResponseEnds::default();
+    ends.on_leaving(&server("a"), ms(10));
+    assert_eq!(ends.standing(&server("a"), Some(&server("a"))), ServerStanding::Leaving);
+}
+
+#[test]
+fn checks_are_counted_until_they_end() {
+    let mut ends = ResponseEnds::default();
+    ends.on_response_opened(&server("a"));
+    ends.on_check_started(&server("a"), ms(1));
+    ends.on_response_closed(&server("a"));
+    assert!(ends.has_checks() && !ends.awaits_departure());
+    ends.on_leaving(&server("a"), ms(2));
+    assert!(ends.awaits_departure());
+    ends.on_check_ended(&server("a"));
+    assert!(!ends.has_checks() && !ends.awaits_departure());
+}
