--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -319,20 +319,17 @@
     }
 }
 
-/// Returns whether the only response of a server that has long been leaving ended with it.
+/// Returns whether the only response of a server without a row, which was long removed, ended with
+/// it.
 fn is_presumed_last(
     process: &Process,
     standing: ServerStanding,
     drain_time: Duration,
     ended_at: Duration,
 ) -> bool {
-    let leaves = matches!(
-        standing,
-        ServerStanding::Leaving | ServerStanding::Left(_) | ServerStanding::Unlisted
-    );
     // Hosts learn of the departure later than the store, so a part of the time is enough.
     let has_served = process.leaving_since.is_some_and(|since| ended_at >= since + drain_time / 2);
-    leaves && has_served && process.open == 0 && process.checked <= 1
+    standing == ServerStanding::Unlisted && has_served && process.open == 0 && process.checked <= 1
 }
 
 fn incarnation(server: &Server) -> Incarnation {
--- a/crates/fleet/tests/response_ends.rs
+++ b/crates/fleet/tests/response_ends.rs
@@ -121,6 +121,13 @@
     "the row may have expired in an outage")]
 #[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended), (11_800, Bytes { awaited: 0 })]
     => EndAction::BreakOff; "crashed while it left")]
+#[test_case(&[(0, Opened), (0, Draining), (10_000, Ended)] => WAIT; "has been leaving for long")]
+#[test_case(&[(0, Opened), (0, Draining), (10_000, Ended), (11_800, Bytes { awaited: 0 })]
+    => EndAction::BreakOff; "crashed after it had been leaving for long")]
+#[test_case(&[(0, Opened), (0, Opened), (0, Draining), (9_995, OtherEnded), (10_000, Ended),
+    (10_050, REMOVED)] => EndAction::BreakOff; "exits with two requests in flight")]
+#[test_case(&[(0, Opened), (0, Opened), (0, Draining), (10_000, Ended), (10_005, OtherEnded),
+    (10_050, REMOVED)] => EndAction::BreakOff; "exits with two requests in flight, seen first")]
 #[test_case(&[(0, Opened), (0, Opened), (0, Draining), (9_900, OtherEnded), (10_000, Ended),
     (10_050, REMOVED)] => LEFT; "exits after its last two responses")]
 fn a_response_is_complete_only_with_evidence(events: &[(u64, Event)]) -> EndAction {
