--- a/crates/entry/src/end_check.rs
+++ b/crates/entry/src/end_check.rs
@@ -85,9 +85,8 @@
     fn next_action(&self) -> EndAction {
         let server_list = self.entry.server_list.borrow();
         let listed = server_list.get(&self.server.id).map(|listed| &**listed);
-        let drain_time = Duration::from_millis(self.entry.cfg.borrow().drain_ms);
         let (servers, now) = ((&*self.server, listed), self.entry.clock.now());
-        self.entry.response_ends.borrow().next_action(servers, self.end, drain_time, now)
+        self.entry.response_ends.borrow().next_action(servers, self.end, now)
     }
 
     fn standing(&self) -> ServerStanding {
--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -98,8 +98,8 @@
     ends: Vec<Duration>,
     /// The latest time at which the process is known to have been alive, and what shows it.
     alive_at: Option<(Duration, EndEvidence)>,
-    /// When the server was first known to leave.
-    leaving_since: Option<Duration>,
+    /// Whether the server announced that it leaves in order.
+    is_leaving: bool,
     /// When the row of the leaving server was removed.
     left_at: Option<Duration>,
     updated_at: Duration,
@@ -108,7 +108,7 @@
 impl Process {
     /// Returns whether nothing of the process needs to be remembered.
     fn is_unremarkable(&self) -> bool {
-        self.is_idle() && self.ends.is_empty() && self.leaving_since.is_none()
+        self.is_idle() && self.ends.is_empty() && !self.is_leaving
     }
 
     fn is_idle(&self) -> bool {
@@ -145,7 +145,7 @@
     /// Returns whether the end of a response of a leaving server is being checked.
     pub fn awaits_departure(&self) -> bool {
         let mut processes = self.processes.values();
-        self.has_checks() && processes.any(|p| p.checked > 0 && p.leaving_since.is_some())
+        self.has_checks() && processes.any(|process| process.checked > 0 && process.is_leaving)
     }
 
     /// Counts a response as open.
@@ -191,9 +191,9 @@
         self.update(server, |process| process.on_alive(sent_after, EndEvidence::LaterBytes));
     }
 
-    /// Records that a server leaves.
+    /// Records that a server announced that it leaves in order.
     pub fn on_leaving(&mut self, server: &Server, now: Duration) {
-        self.process(server, now).leaving_since.get_or_insert(now);
+        self.process(server, now).is_leaving = true;
     }
 
     /// Applies a change of the server list; `is_expiry_ruled_out` is whether rows of running servers
@@ -206,41 +206,51 @@
     ) {
         self.expire(now);
         match change {
-            ServerChange::Removed(server) => {
-                let announced = ServerState::Draining { remaining: None };
-                self.on_leaving(server, now);
-                if server.state == announced && is_expiry_ruled_out {
-                    self.process(server, now).left_at = Some(now);
-                }
+            ServerChange::Removed(server) if is_expiry_ruled_out => {
+                self.update(server, |process| {
+                    process.left_at = process.is_leaving.then_some(now);
+                });
             }
+            ServerChange::Removed(_) => {}
             ServerChange::Draining(server)
             | ServerChange::Started(server)
             | ServerChange::Changed(server)
                 if !server.is_ready() =>
             {
-                self.on_leaving(server, now);
+                self.on_row_leaving(server, now);
             }
             // The row of a server that was partitioned is back.
             ServerChange::Started(server) => {
                 self.update(server, |process| {
-                    (process.leaving_since, process.left_at) = (None, None);
+                    (process.is_leaving, process.left_at) = (false, None);
                 });
             }
             ServerChange::Draining(_) | ServerChange::Changed(_) => {}
         }
     }
 
+    fn on_row_leaving(&mut self, server: &Server, now: Duration) {
+        match server.state {
+            ServerState::Draining { remaining: None } => self.on_leaving(server, now),
+            // The server ends when its time is over, whatever it runs.
+            ServerState::Draining { remaining: Some(_) } => {
+                self.update(server, |process| process.is_leaving = false);
+            }
+            ServerState::Ready => {}
+        }
+    }
+
     /// Returns what is known of `server`, the incarnation that responded; `listed` is the server
     /// with its id in the list.
     pub fn standing(&self, server: &Server, listed: Option<&Server>) -> ServerStanding {
         let process = self.processes.get(&incarnation(server));
-        let leaves = process.is_some_and(|process| process.leaving_since.is_some());
+        let is_leaving = process.is_some_and(|process| process.is_leaving);
         match listed {
             Some(listed) if !listed.is_same_process(server) => ServerStanding::Replaced,
             Some(Server { state: ServerState::Draining { remaining: Some(_) }, .. }) => {
                 ServerStanding::LeavingAtShortNotice
             }
-            Some(_) if leaves => ServerStanding::Leaving,
+            Some(_) if is_leaving => ServerStanding::Leaving,
             Some(_) => ServerStanding::Serving,
             None => match process.and_then(|process| process.left_at) {
                 Some(at) => ServerStanding::Left(at),
@@ -250,13 +260,11 @@
     }
 
     /// Returns what to do with a response of `server` that ended with its connection; `listed` is
-    /// the server with its id in the list, and `drain_time` how long a server serves that leaves in
-    /// order.
+    /// the server with its id in the list.
     pub fn next_action(
         &self,
         (server, listed): (&Server, Option<&Server>),
         end: ResponseEnd,
-        drain_time: Duration,
         now: Duration,
     ) -> EndAction {
         let standing = self.standing(server, listed);
@@ -280,9 +288,6 @@
         if has_left && ended_alone {
             return EndAction::Complete(EndEvidence::Left);
         }
-        if is_presumed_last(process, standing, drain_time, end.at) {
-            return EndAction::Complete(EndEvidence::Left);
-        }
         let may_leave = standing == ServerStanding::Leaving && ended_alone;
         if now >= end.wait_until || !(may_leave || process.open > 0) {
             return EndAction::BreakOff;
@@ -319,19 +324,6 @@
     }
 }
 
-/// Returns whether the only response of a server without a row, which was long removed, ended with
-/// it.
-fn is_presumed_last(
-    process: &Process,
-    standing: ServerStanding,
-    drain_time: Duration,
-    ended_at: Duration,
-) -> bool {
-    // Hosts learn of the departure later than the store, so a part of the time is enough.
-    let has_served = process.leaving_since.is_some_and(|since| ended_at >= since + drain_time / 2);
-    standing == ServerStanding::Unlisted && has_served && process.open == 0 && process.checked <= 1
-}
-
 fn incarnation(server: &Server) -> Incarnation {
     (server.id.clone(), server.started_at_ms)
 }
--- a/crates/fleet/tests/response_ends.rs
+++ b/crates/fleet/tests/response_ends.rs
@@ -14,7 +14,6 @@
 };
 use test_case::test_case;
 
-const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 const ENDED_AT: Duration = Duration::from_millis(10_000);
 const WAIT_UNTIL: Duration = Duration::from_millis(11_800);
 
@@ -98,7 +97,7 @@
         }
     }
     let end = ResponseEnd { at: ENDED_AT, wait_until: WAIT_UNTIL };
-    ends.next_action((&server("a"), listed.as_ref()), end, DRAIN_TIME, now)
+    ends.next_action((&server("a"), listed.as_ref()), end, now)
 }
 
 #[test_case(&[(0, Opened), (10_000, Ended), (10_000, Accepts)] => ACCEPTS; "alive")]
@@ -111,6 +110,18 @@
     "has time left")]
 #[test_case(&[(0, Opened), (0, ShortNotice), (10_000, Ended)] => EndAction::BreakOff;
     "its time is over")]
+#[test_case(&[(0, Opened), (0, ShortNotice), (10_000, Ended), (10_050, REMOVED)]
+    => EndAction::BreakOff; "its time is over, and its row is removed")]
+#[test_case(&[(0, Opened), (0, Draining), (0, ShortNotice), (10_000, Ended), (10_050, REMOVED)]
+    => EndAction::BreakOff; "at short notice after all")]
+#[test_case(&[(0, Opened), (0, REMOVED), (10_000, Ended)] => EndAction::BreakOff;
+    "crashed after its row had expired")]
+#[test_case(&[(0, Opened), (0, REMOVED), (10_000, Ended), (10_000, Accepts)] => ACCEPTS;
+    "serves on without a row")]
+#[test_case(&[(0, Opened), (0, Draining), (7_000, REMOVED), (10_000, Ended)]
+    => EndAction::BreakOff; "drains, and crashed after its row had expired")]
+#[test_case(&[(0, Opened), (10_000, Ended), (10_050, REMOVED)] => EndAction::BreakOff;
+    "crashed, and its row is removed")]
 #[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended)] => WAIT; "leaves")]
 #[test_case(&[(0, Opened), (9_001, Draining), (10_000, Ended), (10_050, REMOVED)] => LEFT;
     "exits after its last response")]
