--- a/crates/entry/src/end_check.rs
+++ b/crates/entry/src/end_check.rs
@@ -54,11 +54,10 @@
 
     /// Records bytes that were waited for since `since`.
     pub(crate) fn on_awaited_bytes(&self, since: Duration, now: Duration) {
-        if !self.entry.response_ends.borrow().has_checks() {
-            return;
+        let mut response_ends = self.entry.response_ends.borrow_mut();
+        if response_ends.has_checks() && response_ends.on_awaited_bytes(&self.server, since, now) {
+            self.entry.ends_changed.notify_waiters();
         }
-        self.entry.response_ends.borrow_mut().on_awaited_bytes(&self.server, since, now);
-        self.entry.ends_changed.notify_waiters();
     }
 }
 
@@ -89,12 +88,6 @@
         self.entry.response_ends.borrow().next_action(servers, self.end, now)
     }
 
-    fn standing(&self) -> ServerStanding {
-        let server_list = self.entry.server_list.borrow();
-        let listed = server_list.get(&self.server.id).map(|listed| &**listed);
-        self.entry.response_ends.borrow().standing(&self.server, listed)
-    }
-
     /// Waits until the end can be decided on.
     async fn evidence(&self) -> Option<EndEvidence> {
         let CheckGuard { entry, server, end } = self;
@@ -143,21 +136,33 @@
         is_resumable: bool,
     ) -> EndCheck {
         let at = self.clock.now();
-        let wait = match is_resumable {
-            true => RESUMABLE_EVIDENCE_TIMEOUT,
-            false => self.cfg.borrow().end_evidence_timeout(),
-        };
         response.on_connection_ended();
-        let end = ResponseEnd { at, wait_until: at + wait };
-        let check = CheckGuard::start(self, server, end);
+        let wait_until = at + self.evidence_timeout(server, is_resumable);
+        let check = CheckGuard::start(self, server, ResponseEnd { at, wait_until });
         drop(response);
         Box::pin(async move {
             let evidence = check.evidence().await;
-            let (standing, now) = (check.standing(), check.entry.clock.now());
+            let (standing, now) = (check.entry.standing(&check.server), check.entry.clock.now());
             CheckedEnd { evidence, standing, took: now.saturating_sub(at) }
         })
     }
 
+    /// Returns how long the end of a response of a server that accepts no connections waits.
+    fn evidence_timeout(&self, server: &Server, is_resumable: bool) -> Duration {
+        match (is_resumable, self.standing(server)) {
+            (false, _) => self.cfg.borrow().end_evidence_timeout(),
+            (true, ServerStanding::Leaving) => RESUMABLE_EVIDENCE_TIMEOUT,
+            // The server most likely crashed, and another one can continue the stream at once.
+            (true, _) => Duration::ZERO,
+        }
+    }
+
+    fn standing(&self, server: &Server) -> ServerStanding {
+        let server_list = self.server_list.borrow();
+        let listed = server_list.get(&server.id).map(|listed| &**listed);
+        self.response_ends.borrow().standing(server, listed)
+    }
+
     /// Reads changes of the servers' rows as they happen while the end of a response of a leaving
     /// server is checked; the usual reads have longer intervals.
     fn watch_departures(self: &Rc<Self>) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -285,7 +285,7 @@
         if self.placement.borrow_mut().on_server_notice(server, notice, self.clock.now()) {
             log::info!("server {} sent a notice: {notice:?}", server.id);
             if notice.is_draining {
-                self.response_ends.borrow_mut().on_leaving(server, self.clock.now());
+                self.response_ends.borrow_mut().on_notice(server, self.clock.now());
             }
         }
         self.on_rate_limit(server, notice.rate_limit);
--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -42,8 +42,8 @@
     Serving,
     /// The server announced that it leaves, and is still listed.
     Leaving,
-    /// The server announced that it leaves, and its row was removed at this time.
-    Left(Duration),
+    /// The server announced that it leaves, and its row was removed since.
+    Left,
     /// The server's row was removed without an announcement.
     Unlisted,
     /// The server leaves at short notice.
@@ -87,6 +87,15 @@
 /// The id of a server and the start time of one of its incarnations.
 type Incarnation = (Arc<str>, u64);
 
+/// How a server announced that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// The server finishes its responses first.
+    InOrder,
+    /// The server ends when its time is over, whatever it runs.
+    ShortNotice,
+}
+
 /// What this host has seen of a server's process.
 #[derive(Clone, Debug, Default)]
 struct Process {
@@ -98,9 +107,8 @@
     ends: Vec<Duration>,
     /// The latest time at which the process is known to have been alive, and what shows it.
     alive_at: Option<(Duration, EndEvidence)>,
-    /// Whether the server announced that it leaves in order.
-    is_leaving: bool,
-    /// When the row of the leaving server was removed.
+    departure: Option<Departure>,
+    /// When the row of a server that leaves in order was removed.
     left_at: Option<Duration>,
     updated_at: Duration,
 }
@@ -108,7 +116,7 @@
 impl Process {
     /// Returns whether nothing of the process needs to be remembered.
     fn is_unremarkable(&self) -> bool {
-        self.is_idle() && self.ends.is_empty() && !self.is_leaving
+        self.is_idle() && self.ends.is_empty() && self.departure.is_none()
     }
 
     fn is_idle(&self) -> bool {
@@ -121,6 +129,10 @@
         self.ends.iter().filter(|end| end.abs_diff(at) < EXIT_TIME).count() > 1
     }
 
+    fn leaves_in_order(&self) -> bool {
+        self.departure == Some(Departure::InOrder)
+    }
+
     fn on_alive(&mut self, at: Duration, evidence: EndEvidence) {
         if self.alive_at.is_none_or(|(known, _)| known < at) {
             self.alive_at = Some((at, evidence));
@@ -145,7 +157,8 @@
     /// Returns whether the end of a response of a leaving server is being checked.
     pub fn awaits_departure(&self) -> bool {
         let mut processes = self.processes.values();
-        self.has_checks() && processes.any(|process| process.checked > 0 && process.is_leaving)
+        self.has_checks()
+            && processes.any(|process| process.checked > 0 && process.leaves_in_order())
     }
 
     /// Counts a response as open.
@@ -182,18 +195,20 @@
         self.update(server, |process| process.on_alive(opened_at, EndEvidence::Accepts));
     }
 
-    /// Records bytes of a response that were waited for since `since`, when none were at hand.
-    pub fn on_awaited_bytes(&mut self, server: &Server, since: Duration, now: Duration) {
-        if now < since + BUFFERED_READ_TIME {
-            return;
+    /// Records bytes of a response that were waited for since `since`, when none were at hand;
+    /// returns whether the end of another response of the server is being checked.
+    pub fn on_awaited_bytes(&mut self, server: &Server, since: Duration, now: Duration) -> bool {
+        let Some(process) = self.processes.get_mut(&incarnation(server)) else { return false };
+        if process.checked == 0 || now < since + BUFFERED_READ_TIME {
+            return false;
         }
-        let sent_after = since.saturating_sub(ARRIVAL_SKEW_MAX);
-        self.update(server, |process| process.on_alive(sent_after, EndEvidence::LaterBytes));
+        process.on_alive(since.saturating_sub(ARRIVAL_SKEW_MAX), EndEvidence::LaterBytes);
+        true
     }
 
-    /// Records that a server announced that it leaves in order.
-    pub fn on_leaving(&mut self, server: &Server, now: Duration) {
-        self.process(server, now).is_leaving = true;
+    /// Records that a server announced in a response that it leaves.
+    pub fn on_notice(&mut self, server: &Server, now: Duration) {
+        self.process(server, now).departure.get_or_insert(Departure::InOrder);
     }
 
     /// Applies a change of the server list; `is_expiry_ruled_out` is whether rows of running servers
@@ -208,7 +223,7 @@
         match change {
             ServerChange::Removed(server) if is_expiry_ruled_out => {
                 self.update(server, |process| {
-                    process.left_at = process.is_leaving.then_some(now);
+                    process.left_at = process.leaves_in_order().then_some(now);
                 });
             }
             ServerChange::Removed(_) => {}
@@ -222,7 +237,7 @@
             // The row of a server that was partitioned is back.
             ServerChange::Started(server) => {
                 self.update(server, |process| {
-                    (process.is_leaving, process.left_at) = (false, None);
+                    (process.departure, process.left_at) = (None, None);
                 });
             }
             ServerChange::Draining(_) | ServerChange::Changed(_) => {}
@@ -230,30 +245,28 @@
     }
 
     fn on_row_leaving(&mut self, server: &Server, now: Duration) {
-        match server.state {
-            ServerState::Draining { remaining: None } => self.on_leaving(server, now),
-            // The server ends when its time is over, whatever it runs.
-            ServerState::Draining { remaining: Some(_) } => {
-                self.update(server, |process| process.is_leaving = false);
-            }
-            ServerState::Ready => {}
-        }
+        let departure = match server.state {
+            ServerState::Draining { remaining: None } => Departure::InOrder,
+            ServerState::Draining { remaining: Some(_) } => Departure::ShortNotice,
+            ServerState::Ready => return,
+        };
+        self.process(server, now).departure = Some(departure);
     }
 
     /// Returns what is known of `server`, the incarnation that responded; `listed` is the server
     /// with its id in the list.
     pub fn standing(&self, server: &Server, listed: Option<&Server>) -> ServerStanding {
         let process = self.processes.get(&incarnation(server));
-        let is_leaving = process.is_some_and(|process| process.is_leaving);
+        let leaves = process.is_some_and(Process::leaves_in_order);
         match listed {
             Some(listed) if !listed.is_same_process(server) => ServerStanding::Replaced,
             Some(Server { state: ServerState::Draining { remaining: Some(_) }, .. }) => {
                 ServerStanding::LeavingAtShortNotice
             }
-            Some(_) if is_leaving => ServerStanding::Leaving,
+            Some(_) if leaves => ServerStanding::Leaving,
             Some(_) => ServerStanding::Serving,
             None => match process.and_then(|process| process.left_at) {
-                Some(at) => ServerStanding::Left(at),
+                Some(_) => ServerStanding::Left,
                 None => ServerStanding::Unlisted,
             },
         }
@@ -281,11 +294,8 @@
         }
         // Responses that end together were cut off, even by an exit in order.
         let ended_alone = !process.ended_with_others(end.at);
-        let has_left = match standing {
-            ServerStanding::Left(at) => end.at <= at + REMOVAL_LEAD_MAX,
-            _ => false,
-        };
-        if has_left && ended_alone {
+        let left_at = process.left_at.filter(|_| standing == ServerStanding::Left);
+        if ended_alone && left_at.is_some_and(|at| end.at <= at + REMOVAL_LEAD_MAX) {
             return EndAction::Complete(EndEvidence::Left);
         }
         let may_leave = standing == ServerStanding::Leaving && ended_alone;
--- a/crates/fleet/tests/response_ends.rs
+++ b/crates/fleet/tests/response_ends.rs
@@ -38,6 +38,8 @@
     /// The row tells that the server leaves.
     Draining,
     ShortNotice,
+    /// A response tells that the server leaves.
+    Notice,
     /// The row is removed, and rows may have expired in an outage or not.
     Removed {
         is_expiry_ruled_out: bool,
@@ -56,7 +58,9 @@
     },
 }
 
-use Event::{Accepts, Bytes, Draining, Ended, Opened, OtherEnded, Removed, Replaced, ShortNotice};
+use Event::{
+    Accepts, Bytes, Draining, Ended, Notice, Opened, OtherEnded, Removed, Replaced, ShortNotice,
+};
 
 const REMOVED: Event = Removed { is_expiry_ruled_out: true };
 
@@ -92,8 +96,11 @@
                 ends.on_check_started(&server("a"), now);
                 ends.on_response_closed(&server("a"));
             }
+            Notice => ends.on_notice(&server("a"), now),
             Accepts => ends.on_accepted(&server("a"), now),
-            Bytes { awaited } => ends.on_awaited_bytes(&server("a"), now - ms(*awaited), now),
+            Bytes { awaited } => {
+                ends.on_awaited_bytes(&server("a"), now - ms(*awaited), now);
+            }
         }
     }
     let end = ResponseEnd { at: ENDED_AT, wait_until: WAIT_UNTIL };
@@ -114,6 +121,10 @@
     => EndAction::BreakOff; "its time is over, and its row is removed")]
 #[test_case(&[(0, Opened), (0, Draining), (0, ShortNotice), (10_000, Ended), (10_050, REMOVED)]
     => EndAction::BreakOff; "at short notice after all")]
+#[test_case(&[(0, Opened), (0, ShortNotice), (0, Notice), (10_000, Ended), (10_050, REMOVED)]
+    => EndAction::BreakOff; "at short notice, as a response does not tell")]
+#[test_case(&[(0, Opened), (0, Notice), (10_000, Ended), (10_050, REMOVED)] => LEFT;
+    "exits after its last response, as another one announced")]
 #[test_case(&[(0, Opened), (0, REMOVED), (10_000, Ended)] => EndAction::BreakOff;
     "crashed after its row had expired")]
 #[test_case(&[(0, Opened), (0, REMOVED), (10_000, Ended), (10_000, Accepts)] => ACCEPTS;
@@ -170,7 +181,7 @@
     ends.on_server_change(&ServerChange::Draining(Arc::new(draining(None))), true, ms(10));
     assert_eq!(standing(&ends, Some(&draining(None))), ServerStanding::Leaving);
     ends.on_server_change(&ServerChange::Removed(Arc::new(draining(None))), true, ms(400));
-    assert_eq!(standing(&ends, None), ServerStanding::Left(ms(400)));
+    assert_eq!(standing(&ends, None), ServerStanding::Left);
     let short = ServerStanding::LeavingAtShortNotice;
     assert_eq!(standing(&ends, Some(&draining(Some(ms(1))))), short);
     let newer = Server { started_at_ms: 2, ..server("a") };
@@ -184,7 +195,7 @@
 #[test]
 fn a_notice_is_an_announcement() {
     let mut ends = ResponseEnds::default();
-    ends.on_leaving(&server("a"), ms(10));
+    ends.on_notice(&server("a"), ms(10));
     assert_eq!(ends.standing(&server("a"), Some(&server("a"))), ServerStanding::Leaving);
 }
 
@@ -195,7 +206,7 @@
     ends.on_check_started(&server("a"), ms(1));
     ends.on_response_closed(&server("a"));
     assert!(ends.has_checks() && !ends.awaits_departure());
-    ends.on_leaving(&server("a"), ms(2));
+    ends.on_notice(&server("a"), ms(2));
     assert!(ends.awaits_departure());
     ends.on_check_ended(&server("a"));
     assert!(!ends.has_checks() && !ends.awaits_departure());
