--- a/crates/entry/src/end_check.rs
+++ b/crates/entry/src/end_check.rs
@@ -160,11 +160,11 @@
         })
     }
 
-    /// Asks a server whose row was removed without an announcement if it leaves, in case that one of
-    /// its responses ends with its connection.
+    /// Asks a server whose row was removed if it leaves, in case that one of its responses ends with
+    /// its connection. The row may have expired, or the server serves on without it.
     pub(crate) fn ask_unlisted(self: &Rc<Self>, server: &Arc<Server>) {
-        let is_unlisted = self.standing(server) == ServerStanding::Unlisted;
-        if is_unlisted && self.response_ends.borrow_mut().should_ask(server) {
+        let is_listed = self.server_list.borrow().get(&server.id).is_some();
+        if !is_listed && self.response_ends.borrow_mut().should_ask(server) {
             tokio::task::spawn_local(ask_whether_leaving(self.clone(), server.clone()));
         }
     }
--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -52,7 +52,7 @@
     Left,
     /// The server's row was removed without an announcement.
     Unlisted,
-    /// The same, and the server says that it leaves.
+    /// The server's row was removed, and the server says since that it leaves.
     LeavingUnlisted,
     /// The server leaves at short notice.
     LeavingAtShortNotice,
@@ -102,8 +102,6 @@
     InOrder,
     /// The server ends when its time is over, whatever it runs.
     ShortNotice,
-    /// Only when it was asked, after the removal of its row; it serves until this time at least.
-    WhenAsked { serves_until: Duration },
 }
 
 /// What this host has seen of a server's process.
@@ -122,10 +120,12 @@
     /// The latest time at which the process is known to have been alive, and what shows it.
     alive_at: Option<(Duration, EndEvidence)>,
     departure: Option<Departure>,
-    /// Whether the server was asked if it leaves.
-    was_asked: bool,
     /// When the row of a server that leaves in order was removed.
     left_at: Option<Duration>,
+    /// Whether the server was asked if it leaves, after the removal of its row.
+    was_asked: bool,
+    /// Until when the server serves at least, if it said that it leaves.
+    serves_until: Option<Duration>,
     updated_at: Duration,
 }
 
@@ -203,7 +203,7 @@
     /// Returns whether to ask a server whose row was removed if it leaves; it is asked once.
     pub fn should_ask(&mut self, server: &Server) -> bool {
         let Some(process) = self.processes.get_mut(&incarnation(server)) else { return false };
-        let is_due = process.unframed > 0 && process.departure.is_none();
+        let is_due = process.unframed > 0 && process.departure != Some(Departure::ShortNotice);
         is_due && !std::mem::replace(&mut process.was_asked, true)
     }
 
@@ -211,9 +211,7 @@
     /// a server serves.
     pub fn on_leaving_when_asked(&mut self, server: &Server, drain_time: Duration, now: Duration) {
         // Hosts learn of the removal later than the store, so a part of the time is enough.
-        let serves_until = now + drain_time / 2;
-        let departure = Departure::WhenAsked { serves_until };
-        self.process(server, now).departure.get_or_insert(departure);
+        self.process(server, now).serves_until = Some(now + drain_time / 2);
     }
 
     /// Records that the server's end of a connection broke off a response visibly: inside its head or
@@ -272,7 +270,9 @@
         is_expiry_ruled_out: bool,
         now: Duration,
     ) {
-        self.expire(now);
+        if matches!(change, ServerChange::Removed(_)) {
+            self.expire(now);
+        }
         match change {
             ServerChange::Removed(server) if is_expiry_ruled_out => {
                 self.update(server, |process| {
@@ -291,7 +291,7 @@
             ServerChange::Started(server) => {
                 self.update(server, |process| {
                     (process.departure, process.left_at) = (None, None);
-                    process.was_asked = false;
+                    (process.was_asked, process.serves_until) = (false, None);
                 });
             }
             ServerChange::Draining(_) | ServerChange::Changed(_) => {}
@@ -319,10 +319,10 @@
             }
             Some(_) if leaves => ServerStanding::Leaving,
             Some(_) => ServerStanding::Serving,
-            None => match process.map(|process| (process.left_at, process.departure)) {
-                Some((Some(_), _)) => ServerStanding::Left,
-                Some((None, Some(Departure::WhenAsked { .. }))) => ServerStanding::LeavingUnlisted,
-                Some(_) | None => ServerStanding::Unlisted,
+            None => match process.map(|process| (process.serves_until, process.left_at)) {
+                Some((Some(_), _)) => ServerStanding::LeavingUnlisted,
+                Some((None, Some(_))) => ServerStanding::Left,
+                Some((None, None)) | None => ServerStanding::Unlisted,
             },
         }
     }
@@ -348,14 +348,14 @@
             return EndAction::Complete(evidence);
         }
         let may_have_finished = !process.was_cut(end.at);
-        let left_at = process.left_at.filter(|_| standing == ServerStanding::Left);
+        let left_at = process.left_at.filter(|_| listed.is_none());
         if may_have_finished && left_at.is_some_and(|at| end.at <= at + REMOVAL_LEAD_MAX) {
             return EndAction::Complete(EndEvidence::Left);
         }
-        if let Some(Departure::WhenAsked { serves_until }) = process.departure
-            && standing == ServerStanding::LeavingUnlisted
+        let has_served = process.serves_until.is_some_and(|until| end.at >= until);
+        if standing == ServerStanding::LeavingUnlisted
+            && has_served
             && may_have_finished
-            && end.at >= serves_until
             && process.ended_alone(end.at)
         {
             let decided_at = end.at + EXIT_TIME;
--- a/crates/fleet/tests/response_ends.rs
+++ b/crates/fleet/tests/response_ends.rs
@@ -177,6 +177,7 @@
     "another one was cut off")]
 #[test_case(9_000, &[(10_019, OtherEnded), (10_019, Accepts)] => ACCEPTS; "it serves on")]
 #[test_case(9_001, &[(10_020, Bytes { awaited: 0 })] => WAIT; "too early for its exit")]
+#[test_case(9_000, &[(10_019, OtherEnded), (10_020, Replaced)] => EndAction::BreakOff; "replaced")]
 fn a_server_without_a_row_tells_whether_it_leaves(
     asked_at: u64,
     events: &[(u64, Event)],
@@ -191,6 +192,16 @@
     action(&[&start, events].concat())
 }
 
+/// A server that had announced that it leaves serves on after its row was removed.
+#[test_case(Draining; "the row was removed early")]
+#[test_case(Notice; "a response announced it")]
+fn a_server_that_serves_on_without_its_row_finishes(announcement: Event) {
+    let events = [(0, Opened), (5_000, announcement), (7_000, REMOVED), (7_001, LeavesWhenAsked)];
+    let end = [(10_000, Ended), (10_020, Bytes { awaited: 0 })];
+    assert_eq!(action(&[&events[..], &end].concat()), LEFT);
+    assert_eq!(action(&[&events[..3], &end].concat()), EndAction::BreakOff);
+}
+
 /// A server is asked once, and only if a response may end with its connection.
 #[test]
 fn a_server_without_a_row_is_asked_once() {
@@ -201,8 +212,9 @@
     assert!(ends.should_ask(&server("a")) && !ends.should_ask(&server("a")));
     ends.on_server_change(&ServerChange::Started(Arc::new(server("a"))), true, ms(1));
     assert!(ends.should_ask(&server("a")));
-    ends.on_server_change(&ServerChange::Draining(Arc::new(draining(None))), true, ms(2));
-    ends.on_server_change(&ServerChange::Started(Arc::new(draining(None))), true, ms(2));
+    let short = Arc::new(draining(Some(ms(2_000))));
+    ends.on_server_change(&ServerChange::Started(Arc::new(server("a"))), true, ms(2));
+    ends.on_server_change(&ServerChange::Draining(short), true, ms(2));
     assert!(!ends.should_ask(&server("a")));
 }
 
