--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -521,17 +521,13 @@
 impl InFlight {
     /// Reports that the server's response is complete.
     fn on_completed(&self) {
-        let Some(Run { server, content, parts, response, .. }) = &self.run else { return };
+        let Some(Run { content, parts, response, .. }) = &self.run else { return };
         match response {
             ResponseKind::Success => {
                 self.entry.on_completed(*content);
                 self.entry.on_parts_completed(parts);
             }
-            ResponseKind::Failure => {}
-            ResponseKind::Unframed => {
-                let loss = ConnectionLoss::EndedResponse;
-                self.entry.on_connection_lost(server, *content, parts, loss);
-            }
+            ResponseKind::Failure | ResponseKind::Unframed => {}
         }
     }
 
--- a/crates/entry/src/crash_probe.rs
+++ b/crates/entry/src/crash_probe.rs
@@ -53,7 +53,6 @@
                     tokio::task::spawn_local(probe(self.clone(), server.clone()));
                 }
                 LossAction::Wait => {}
-                LossAction::Ignore if loss == ConnectionLoss::EndedResponse => return,
                 LossAction::Ignore => {
                     log::info!(
                         "server {} shut down as announced while it ran content {content}",
--- a/crates/fleet/src/crash_detector.rs
+++ b/crates/fleet/src/crash_detector.rs
@@ -48,9 +48,6 @@
     Closed,
     /// The server did not respond in time.
     TimedOut,
-    /// The connection ended a response without a length or chunks. The response is complete unless
-    /// the server crashed.
-    EndedResponse,
 }
 
 /// The result of a probe of a server's address.
@@ -211,10 +208,6 @@
             return LossAction::Crashed(ServerCrash { content, server, started_at_ms, evidence });
         }
         suspect.add(LostConnection { content, loss, at: now, has_responded: false });
-        // Most responses without framing are complete, and probes take a server's time.
-        if loss == ConnectionLoss::EndedResponse {
-            return LossAction::Wait;
-        }
         if std::mem::replace(&mut suspect.is_probing, true) {
             return LossAction::Wait;
         }
